Edge connections that rest longest make room; a request has 2.5 s to come

At fault: netutil.LimitListener with IdleTimeout 2 minutes in cmd/standpoint/main.go. Now edge.Room owns the places: short of them, the connection that has rested longest (over 2 s, no request open) goes; IdleTimeout 5 s; ReadTimeout 2.5 s for head and body, since an error or close is owed within 3 s. The split of descriptors moved to config.Limits.

--- a/cmd/standpoint/main.go
+++ b/cmd/standpoint/main.go
@@ -19,17 +19,15 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-	"golang.org/x/net/netutil"
 
 	"standpoint/internal/config"
+	"standpoint/internal/edge"
 	"standpoint/internal/node"
 )
 
 const (
 	lateClients  = 600 * time.Millisecond // after SIGTERM clients still come for up to 0.4 s
-	headerTime   = 5 * time.Second
-	idleTime     = 2 * time.Minute // of edge connections
-	shutdownTime = time.Minute     // in which what was taken must be answered
+	shutdownTime = time.Minute            // in which what was taken must be answered
 )
 
 func main() {
@@ -87,10 +85,10 @@
 	for _, actor := range p.actors {
 		go actor(actors)
 	}
-	server := &http.Server{Handler: p.handler(life), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-		MaxHeaderBytes: 32 << 10, ErrorLog: zap.NewStdLog(log)}
+	room := edge.NewRoom(listener, p.limits.EdgeConnections())
+	server := edge.NewServer(p.handler(life), room, log)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(netutil.LimitListener(listener, p.limits.Sockets*6/10)) }()
+	go func() { failed <- server.Serve(room) }()
 	if err := life.Move(node.Serving); err != nil {
 		return err
 	}
--- a/cmd/standpoint/wiring.go
+++ b/cmd/standpoint/wiring.go
@@ -21,10 +21,7 @@
 	"standpoint/internal/store"
 )
 
-// flowsShare: of the descriptors, the part that flows may hold towards real servers.
-const flowsShare = 3.0 / 10
-
-func maxFlows(l config.Limits) int { return int(float64(l.Sockets) * flowsShare) }
+const uploadTime = 2 * time.Minute // of a batch file
 
 // fromPlatform puts the node together as the platform's variables say. The store is one member in memory:
 // there is no disk, and datagrams between nodes are lossy and have their price.
@@ -50,7 +47,7 @@
 		p.core.News(l)
 	}
 	watcher := entries.NewWatcher(cfg.Discovery, names, seq, news, log)
-	p.core = node.New(node.Options{Settings: cfg.Settings, Seed: cfg.Seed, MaxFlows: maxFlows(cfg.Limits),
+	p.core = node.New(node.Options{Settings: cfg.Settings, Seed: cfg.Seed, MaxFlows: cfg.Limits.Flows(),
 		Servers: fleet, Entries: watcher, Log: log})
 	p.handler = func(life *node.Life) http.Handler {
 		return (&edge.Front{Core: p.core, Life: life, Names: cfg.Names, Log: log}).Handler()
@@ -92,7 +89,7 @@
 	} else {
 		source = entries.Fixed{List: listed(cfg), News: news}
 	}
-	p.core = node.New(node.Options{Settings: cfg.Settings, Seed: cfg.Seed, MaxFlows: maxFlows(cfg.Bounds),
+	p.core = node.New(node.Options{Settings: cfg.Settings, Seed: cfg.Seed, MaxFlows: cfg.Bounds.Flows(),
 		Servers: fleet, Entries: source, Log: log})
 	if known, ok := keeper.Known(); ok && cfg.Entries.Source != "list" {
 		p.core.News(known)
@@ -118,6 +115,8 @@
 		single, batches := front(life), files.Handler()
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if strings.HasPrefix(r.URL.Path, "/v1/files") || strings.HasPrefix(r.URL.Path, "/v1/batches") {
+				// A file may take longer than a single request may.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(uploadTime))
 				batches.ServeHTTP(w, r)
 				return
 			}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -29,6 +29,13 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// EdgeConnections is the clients' part of the descriptors. They hold at most a third for requests; the rest is
+// for connections that rest between requests.
+func (l Limits) EdgeConnections() int { return l.Sockets * 52 / 100 }
+
+// Flows is how many flows may be open, each with one connection to a real server at the most.
+func (l Limits) Flows() int { return l.Sockets * 33 / 100 }
+
 // Platform is what the platform tells a node.
 type Platform struct {
 	Name, Listen, Discovery string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,7 +20,9 @@
 
 const (
 	bodyMost   = 256 << 10
-	bodyTime   = 5 * time.Second       // in which a request's body must have come
+	readTime   = 2500 * time.Millisecond // in which a request must have come, head and body
+	idleTime   = 5 * time.Second         // for which an edge connection is kept between requests
+	headMost   = 16 << 10
 	writeTime  = 4 * time.Second       // in which a client must take an event
 	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
@@ -37,6 +39,13 @@
 	tenants map[string]int
 }
 
+// NewServer makes the server whose connections the room holds. A client that does not bring its request whole
+// within readTime of connecting is shut out: an answer or a close is owed within 3 s.
+func NewServer(h http.Handler, room *Room, log *zap.Logger) *http.Server {
+	return &http.Server{Handler: h, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
+		ConnState: room.Note, ErrorLog: zap.NewStdLog(log)}
+}
+
 // Handler returns the front's HTTP handler.
 func (f *Front) Handler() http.Handler {
 	f.classes, f.tenants = indexes(f.Names.Classes), indexes(f.Names.Tenants)
@@ -98,12 +107,11 @@
 	}
 	request, err := f.decode(r, began)
 	if err == nil {
-		// The deadline covers the body only; after it the server must be able to notice a client that leaves.
-		_ = control.SetReadDeadline(began.Add(bodyTime))
 		var body []byte
 		body, err = readBody(w, r)
-		_ = control.SetReadDeadline(time.Time{})
 		if err == nil {
+			// readTime is for the request; from here on the server must be able to notice a client that leaves.
+			_ = control.SetReadDeadline(time.Time{})
 			f.serve(w, r, control, request, body)
 			return
 		}
--- /dev/null
+++ b/internal/edge/room.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	restTime = 2 * time.Second       // without an open request a connection keeps its place for so long at least
+	roomLook = 20 * time.Millisecond // between two looks for a place while there is none
+)
+
+// Room is the listener's side of the edge connections: it keeps them within their share of the descriptors.
+// While places are short the connection that has rested longest gives up its own, so that clients who keep
+// connections that they do not use, or say nothing on them, cannot shut others out.
+type Room struct {
+	net.Listener
+	most   int
+	closed chan struct{}
+	once   sync.Once
+
+	mu     sync.Mutex
+	places map[net.Conn]*place
+}
+
+// place is one edge connection. busy: a request is open on it, else it has rested since then.
+type place struct {
+	busy, leaving bool
+	since         time.Time
+}
+
+// NewRoom wraps a listener; the server's ConnState must be the room's Note.
+func NewRoom(l net.Listener, most int) *Room {
+	return &Room{Listener: l, most: most, closed: make(chan struct{}), places: map[net.Conn]*place{}}
+}
+
+// Resize changes how many connections there may be.
+func (r *Room) Resize(most int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.most = most
+}
+
+// Accept waits for a place, then for a connection.
+func (r *Room) Accept() (net.Conn, error) {
+	for !r.free(time.Now()) {
+		select {
+		case <-r.closed:
+			return nil, net.ErrClosed
+		case <-time.After(roomLook):
+		}
+	}
+	c, err := r.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.places[c] = &place{since: time.Now()}
+	return c, nil
+}
+
+// Close ends the accepting.
+func (r *Room) Close() error {
+	r.once.Do(func() { close(r.closed) })
+	return r.Listener.Close()
+}
+
+// free tells that there is a place. Once the last eighth is being given out it asks the longest rest to end.
+func (r *Room) free(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.places) < r.most-r.most/8 {
+		return true
+	}
+	var longest net.Conn
+	for c, p := range r.places {
+		if !p.busy && !p.leaving && now.Sub(p.since) >= restTime && (longest == nil || p.since.Before(r.places[longest].since)) {
+			longest = c
+		}
+	}
+	if longest != nil {
+		r.places[longest].leaving = true
+		// Not Close: a request that the server has begun to read is still answered.
+		_ = longest.SetReadDeadline(now)
+	}
+	return len(r.places) < r.most
+}
+
+// Note follows the connections' states.
+func (r *Room) Note(c net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.places[c]
+	if p == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		p.busy, p.leaving = true, false
+	case http.StateIdle:
+		p.busy, p.since = false, time.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(r.places, c)
+	}
+}
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -38,10 +39,12 @@
 
 // Node is a node's inside on loopback, without discovery.
 type Node struct {
-	Core *node.Core
-	Life *node.Life
-	URL  string // of its edge
-	t    testing.TB
+	Core    *node.Core
+	Life    *node.Life
+	Room    *edge.Room
+	URL     string // of its edge
+	Address string
+	t       testing.TB
 }
 
 type noEntries struct{}
@@ -59,10 +62,13 @@
 	n.Tell(entries...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.Core.Run(ctx)
-	front := httptest.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Log: log}).Handler())
-	n.URL = front.URL
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n.Address, n.URL = listener.Addr().String(), "http://"+listener.Addr().String()
+	n.Room = edge.NewRoom(listener, 300)
+	front := edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Log: log}).Handler(), n.Room, log)
+	go func() { _ = front.Serve(n.Room) }()
 	t.Cleanup(func() {
-		front.CloseClientConnections()
 		front.Close()
 		cancel()
 	})
