Defences against bad engines and bad clients: links, event checks, ids, lengths, places

At fault: realserver.failure called every spoilt answer a lost connection, which the module takes for a dead server; nothing bounded an event, a head or a body that does not end; silent connections held their places for 2 s while new ones waited in Room.Accept; a kept connection with a second answer behind the first could serve it to the next request. Now realserver.link watches each connection (what comes behind the last chunk is nobody's answer, a request begins only on a socket with nothing to read), events are checked line by line before they are passed on, what cannot be read is an error of the one request. The edge refuses chunked requests (411), repeated headers, ids that are open or just over (409), lengths that no body can hold. Connections that never said anything give up their place after 250 ms where places are short. Log lines are sampled.

--- a/cmd/standpoint/main.go
+++ b/cmd/standpoint/main.go
@@ -35,7 +35,9 @@
 	flag.Parse()
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), zap.InfoLevel))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), zap.InfoLevel)
+	// A client may be wrong thousands of times a second, and must not fill the log or hold the node up with it.
+	log := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, logsFirst, logsThen))
 	if err := run(*operator, log); err != nil {
 		fmt.Fprintln(os.Stderr, "standpoint:", err)
 		os.Exit(1)
@@ -92,7 +94,7 @@
 	if err := life.Move(node.Serving); err != nil {
 		return err
 	}
-	log.Info("serving", zap.String("listen", p.listen))
+	log.Info("serving", zap.String("listen", p.listen), zap.Any("limits", p.limits))
 
 	select {
 	case err := <-failed:
--- a/cmd/standpoint/main_test.go
+++ b/cmd/standpoint/main_test.go
@@ -43,7 +43,7 @@
 	release := make(chan struct{})
 	server := testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
 		testpeer.Event(w, "begun")
-		if r.Header.Get("X-Trace-Id") == "slow" {
+		if r.Header.Get("X-Trace-Id") == "slow-1" {
 			<-release
 		}
 		testpeer.Finish(w)
@@ -59,10 +59,12 @@
 		response, err := client.Get("http://" + listen + "/_health")
 		return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
 	}, 5*time.Second, 5*time.Millisecond)
+	asked := 0
 	ask := func(trace string) *http.Response {
+		asked++
 		r, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader(`{"messages":[]}`))
 		require.NoError(t, err)
-		r.Header.Set("X-Trace-Id", trace)
+		r.Header.Set("X-Trace-Id", fmt.Sprintf("%s-%d", trace, asked))
 		r.Header.Set("X-Qos", "chat")
 		r.Header.Set("X-Expires-In", "3000m")
 		response, err := client.Do(r)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,9 @@
 	readTime   = 2500 * time.Millisecond // in which a request must have come, head and body
 	idleTime   = 5 * time.Second         // for which an edge connection is kept between requests
 	headMost   = 16 << 10
+	tokenChars = 4                     // characters of a prompt's token
+	answerMost = 1 << 20               // tokens that may be asked for
+	spanMost   = time.Hour             // for which a client may say that it waits
 	writeTime  = 4 * time.Second       // in which a client must take an event
 	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
@@ -35,6 +39,7 @@
 	Life    *node.Life
 	Names   config.Names
 	Log     *zap.Logger
+	ids     ids
 	classes map[string]int
 	tenants map[string]int
 }
@@ -90,6 +95,11 @@
 	_, _ = w.Write(raw)
 }
 
+// told are the headers that say what a request is; one that says it twice says nothing.
+var told = []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Object", "X-Expires-In", "X-Props", "X-Second-Try", "Content-Type"}
+
+var traceForm = regexp.MustCompile(`^[0-9A-Za-z._-]{1,64}$`)
+
 // fault is a malformed request, answered at once and never sent on.
 type fault struct {
 	status int
@@ -112,14 +122,22 @@
 		if err == nil {
 			// readTime is for the request; from here on the server must be able to notice a client that leaves.
 			_ = control.SetReadDeadline(time.Time{})
-			f.serve(w, r, control, request, body)
-			return
+			trace := r.Header.Get("X-Trace-Id")
+			if f.ids.open(trace, began) {
+				defer f.ids.close(trace)
+				f.serve(w, r, control, request, body)
+				return
+			}
+			err = &fault{http.StatusConflict, "X-Trace-Id: that of another request"}
 		}
 	}
 	var bad *fault
 	if !errors.As(err, &bad) {
 		panic(http.ErrAbortHandler) // the client broke off its own request
 	}
+	if bad.status == http.StatusLengthRequired {
+		w.Header().Set("Connection", "close") // where its body ends is not to be trusted
+	}
 	f.Log.Info("malformed request", zap.String("fault", bad.text))
 	refuse(w, bad.status, bad.text)
 }
@@ -151,16 +169,14 @@
 		return nil, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
-	}
 	if err != nil {
 		return nil, err
 	}
-	var object map[string]json.RawMessage
-	if json.Unmarshal(body, &object) != nil {
-		return nil, &fault{http.StatusBadRequest, "body: not a JSON object"}
+	var chat struct {
+		Messages *[]json.RawMessage `json:"messages"`
+	}
+	if json.Unmarshal(body, &chat) != nil || chat.Messages == nil {
+		return nil, &fault{http.StatusBadRequest, "body: not a JSON object with messages"}
 	}
 	return body, nil
 }
@@ -172,8 +188,18 @@
 		return q, &fault{http.StatusBadRequest, header + ": " + what}
 	}
 	h := r.Header
-	if h.Get("X-Trace-Id") == "" {
-		return bad("X-Trace-Id", "missing")
+	if r.ContentLength < 0 {
+		// net/http drops a Content-Length that stands beside a Transfer-Encoding, so the pair cannot be told from
+		// chunks alone, and may hide a second request in the body. Clients here know what they send.
+		return q, &fault{http.StatusLengthRequired, "Content-Length: missing, or beside a Transfer-Encoding"}
+	}
+	for _, name := range told {
+		if len(h[name]) > 1 {
+			return bad(name, "repeated")
+		}
+	}
+	if !traceForm.MatchString(h.Get("X-Trace-Id")) {
+		return bad("X-Trace-Id", "missing, or not 1 to 64 letters, digits, dots, dashes and underscores")
 	}
 	var ok bool
 	if q.Class, ok = f.classes[h.Get("X-Qos")]; !ok {
@@ -197,11 +223,11 @@
 		case "prefix":
 			q.Prefix, err = key(value)
 		case "prompt_len":
-			q.PromptTokens, err = strconv.ParseFloat(value, 64)
+			q.PromptTokens, err = tokens(value, bodyMost/tokenChars)
 		case "prefix_len":
-			q.PrefixTokens, err = strconv.ParseFloat(value, 64)
+			q.PrefixTokens, err = tokens(value, bodyMost/tokenChars)
 		case "max_out":
-			q.MaxTokens, err = strconv.ParseFloat(value, 64)
+			q.MaxTokens, err = tokens(value, answerMost)
 		}
 		if err != nil {
 			return bad("X-Props", fmt.Sprintf("%s: %q is no such value", name, value))
@@ -223,14 +249,26 @@
 	return strconv.ParseUint(s, 16, 64)
 }
 
+// tokens reads a length. What is no number, or more than a body can hold, must not reach the module.
+func tokens(s string, most float64) (float64, error) {
+	n, err := strconv.ParseFloat(s, 64)
+	if err == nil && !(n >= 0 && n <= most) {
+		err = strconv.ErrRange
+	}
+	return n, err
+}
+
 // span reads a number and its unit: m for milliseconds, u for microseconds.
 func span(s string) (time.Duration, error) {
 	if s == "" {
 		return 0, errors.New("missing")
 	}
-	unit := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[s[len(s)-1]]
+	unit, known := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[s[len(s)-1]]
+	if !known {
+		return 0, fmt.Errorf("%q is no positive number with the unit m or u", s)
+	}
 	n, err := strconv.ParseInt(s[:len(s)-1], 10, 64)
-	if unit == 0 || err != nil || n <= 0 || n > int64(time.Hour/time.Microsecond) {
+	if err != nil || n <= 0 || n > int64(spanMost/unit) {
 		return 0, fmt.Errorf("%q is no positive number with the unit m or u", s)
 	}
 	return time.Duration(n) * unit, nil
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -4,12 +4,16 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	restTime = 2 * time.Second       // without an open request a connection keeps its place for so long at least
-	roomLook = 20 * time.Millisecond // between two looks for a place while there is none
+	restTime = 2 * time.Second // without an open request a connection keeps its place for so long at least
+	// One on which nothing has come at all keeps it for this long only: those who have a request send it at once,
+	// and hundreds may connect together to say nothing.
+	silentTime = 250 * time.Millisecond
+	roomLook   = 20 * time.Millisecond // between two looks for a place while there is none
 )
 
 // Room is the listener's side of the edge connections: it keeps them within their share of the descriptors.
@@ -22,18 +26,37 @@
 	once   sync.Once
 
 	mu     sync.Mutex
-	places map[net.Conn]*place
+	places map[*place]bool
 }
 
 // place is one edge connection. busy: a request is open on it, else it has rested since then.
 type place struct {
+	net.Conn
+	heard         atomic.Bool // something has come on it
 	busy, leaving bool
 	since         time.Time
 }
 
+func (p *place) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	if n > 0 && !p.heard.Load() {
+		p.heard.Store(true)
+	}
+	return n, err
+}
+
+// mayGo tells that the connection has rested for long enough to be closed where places are short.
+func (p *place) mayGo(now time.Time) bool {
+	rest := restTime
+	if !p.heard.Load() {
+		rest = silentTime
+	}
+	return !p.busy && !p.leaving && now.Sub(p.since) >= rest
+}
+
 // NewRoom wraps a listener; the server's ConnState must be the room's Note.
 func NewRoom(l net.Listener, most int) *Room {
-	return &Room{Listener: l, most: most, closed: make(chan struct{}), places: map[net.Conn]*place{}}
+	return &Room{Listener: l, most: most, closed: make(chan struct{}), places: map[*place]bool{}}
 }
 
 // Resize changes how many connections there may be.
@@ -58,8 +81,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.places[c] = &place{since: time.Now()}
-	return c, nil
+	p := &place{Conn: c, since: time.Now()}
+	r.places[p] = true
+	return p, nil
 }
 
 // Close ends the accepting.
@@ -75,14 +99,14 @@
 	if len(r.places) < r.most-r.most/8 {
 		return true
 	}
-	var longest net.Conn
-	for c, p := range r.places {
-		if !p.busy && !p.leaving && now.Sub(p.since) >= restTime && (longest == nil || p.since.Before(r.places[longest].since)) {
-			longest = c
+	var longest *place
+	for p := range r.places {
+		if p.mayGo(now) && (longest == nil || p.since.Before(longest.since)) {
+			longest = p
 		}
 	}
 	if longest != nil {
-		r.places[longest].leaving = true
+		longest.leaving = true
 		// Not Close: a request that the server has begun to read is still answered.
 		_ = longest.SetReadDeadline(now)
 	}
@@ -93,8 +117,8 @@
 func (r *Room) Note(c net.Conn, state http.ConnState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.places[c]
-	if p == nil {
+	p, ours := c.(*place)
+	if !ours {
 		return
 	}
 	switch state {
@@ -103,6 +127,6 @@
 	case http.StateIdle:
 		p.busy, p.since = false, time.Now()
 	case http.StateClosed, http.StateHijacked:
-		delete(r.places, c)
+		delete(r.places, p)
 	}
 }
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -192,6 +193,15 @@
 		{"deadline without unit", set("X-Expires-In", "4800"), 400, "X-Expires-In"},
 		{"negative deadline", set("X-Expires-In", "-1m"), 400, "X-Expires-In"},
 		{"props", set("X-Props", "prompt_len=many"), 400, "prompt_len"},
+		{"id of impossible form", set("X-Trace-Id", "a b"), 400, "X-Trace-Id"},
+		{"two ids", func(r *http.Request) { r.Header.Add("X-Trace-Id", "other") }, 400, "X-Trace-Id"},
+		{"endless wait", set("X-Expires-In", "3600001m"), 400, "X-Expires-In"},
+		{"no number", set("X-Props", "prompt_len=NaN"), 400, "prompt_len"},
+		{"infinite", set("X-Props", "max_out=Inf"), 400, "max_out"},
+		{"negative", set("X-Props", "prefix_len=-5"), 400, "prefix_len"},
+		{"longer than a body", set("X-Props", "prompt_len=65537"), 400, "prompt_len"},
+		{"chunks", func(r *http.Request) { r.ContentLength = -1 }, 411, "Content-Length"},
+		{"no messages", body("{}"), 400, "body"},
 		{"no JSON", body("hello"), 400, "body"},
 		{"too large", body(strings.Repeat(" ", 256<<10+1)), 413, "256 KiB"},
 		{"path", func(r *http.Request) { r.URL.Path = "/v1/other" }, 404, ""},
@@ -218,3 +228,62 @@
 	status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
 	require.Equal(t, http.StatusOK, status)
 }
+
+// Guards against a request that carries another's id, open or just over: it would be a second copy.
+func TestIdOfAnotherRequest(t *testing.T) {
+	release := make(chan struct{})
+	var sent atomic.Int32
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		sent.Add(1)
+		testpeer.Event(w, "begun")
+		<-release
+		testpeer.Finish(w)
+	})))
+	same := func(r *http.Request) { r.Header.Set("X-Trace-Id", "same") }
+	first, err := http.DefaultClient.Do(n.Chat(t.Context(), same))
+	require.NoError(t, err)
+	defer first.Body.Close()
+	status, _, _, _ := n.Do(n.Chat(t.Context(), same))
+	require.Equal(t, http.StatusConflict, status)
+	close(release)
+	_, err = io.ReadAll(first.Body)
+	require.NoError(t, err)
+	status, _, _, _ = n.Do(n.Chat(t.Context(), same))
+	require.Equal(t, http.StatusConflict, status)
+	require.EqualValues(t, 1, sent.Load())
+}
+
+// Guards against clients that hold a place with what is no whole request, and against a request hidden in the body
+// of one that states its length twice: each gets an error or a close within 3 s, and no server sees anything.
+func TestHalfAndHiddenRequests(t *testing.T) {
+	var sent atomic.Int32
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })))
+	var hidden strings.Builder
+	require.NoError(t, n.Chat(t.Context(), nil).Write(&hidden))
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nX-Trace-Id: a\r\nX-Qos: chat\r\nX-Customer: acme\r\nX-Expires-In: 2000m\r\n"
+	for name, text := range map[string]string{
+		"silence":         "",
+		"noise":           "\x00\x01\x02",
+		"half a head":     head,
+		"half a body":     head + "Content-Length: 100\r\n\r\n{",
+		"negative length": head + "Content-Length: -1\r\n\r\n{}",
+		"two lengths":     head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+		"length and chunks": head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"0\r\n\r\n" + hidden.String(),
+		"endless head": head + strings.Repeat("X-More: and more\r\n", 4000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := n.Dial()
+			_, _ = c.Write([]byte(text)) // the node may have closed before the end
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+			answer, err := io.ReadAll(c)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			if len(answer) > 0 {
+				require.Regexp(t, "^HTTP/1.1 4", string(answer))
+				require.Equal(t, 1, strings.Count(string(answer), "HTTP/1.1"))
+			}
+		})
+	}
+	t.Cleanup(func() { require.Zero(t, sent.Load()) })
+}
--- a/internal/realserver/batchserver.go
+++ b/internal/realserver/batchserver.go
@@ -108,7 +108,7 @@
 func (s *batchServer) carry(address string, p *parcel) {
 	for id, a := range p.attempts {
 		if a.Context().Err() != nil { // given up while it was gathered
-			s.end(p, id, node.Result{Code: failure(a.Context(), false)})
+			s.end(p, id, node.Result{Code: failure(a.Context(), false, nil)})
 			continue
 		}
 		defer context.AfterFunc(a.Context(), p.stop)()
@@ -295,10 +295,12 @@
 	}
 	events := append(append([]byte("data: "), raw...), "\n\ndata: [DONE]\n\n"...)
 	if !a.First() {
-		return node.Result{Code: failure(a.Context(), true)}
+		return node.Result{Code: failure(a.Context(), true, nil)}
 	}
 	end := tail{}
-	end.note(events)
+	if err := end.note(events); err != nil {
+		return node.Result{Code: standpoint.ServerError}
+	}
 	if a.Event(events) != nil {
 		return node.Result{Code: standpoint.Cancelled}
 	}
@@ -319,7 +321,7 @@
 	for id, a := range p.attempts {
 		r := node.Result{Code: code}
 		if a.Context().Err() != nil && !code.NeverRan() {
-			r.Code = failure(a.Context(), true)
+			r.Code = failure(a.Context(), true, nil)
 		}
 		s.end(p, id, r)
 	}
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -23,9 +23,15 @@
 const (
 	mailboxSize = 256             // messages that one real server's actor may have waiting
 	maxIdle     = 24              // idle connections kept to one real server
+	openQuiet   = time.Second     // the first event comes with the head; later than this it does not come
 	streamQuiet = 3 * time.Second // a begun stream that is silent for longer is taken to be broken
 	readSize    = 16 << 10
-	drainMost   = 16 << 10 // of an answer that is no stream, to be able to keep its connection
+	headMost    = 16 << 10               // of an answer, 1xx ones ahead included
+	eventMost   = 64 << 10               // of one event
+	streamMost  = 16 << 20               // of a whole answer
+	drainMost   = 16 << 10               // of an answer that is no stream, to be able to keep its connection
+	drainTime   = 100 * time.Millisecond // in which that must have come
+	freshTries  = 2                      // further connections for a request that kept ones did not take
 	neverRan    = "X-Never-Ran"
 )
 
@@ -146,8 +152,16 @@
 }
 
 func transport(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}
 	return &http.Transport{
-		DialContext: (&net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &link{Conn: c}, nil
+		},
+		MaxResponseHeaderBytes: headMost,
 		// Half of the server's own idle time: a request written to a connection that the server is closing
 		// would end as a reset.
 		IdleConnTimeout:     o.ConnIdle / 2,
@@ -159,7 +173,10 @@
 	}
 }
 
-var errQuiet = errors.New("the stream fell silent")
+var (
+	errQuiet   = errors.New("the stream fell silent")
+	errNoEvent = errors.New("no event behind the head of the answer")
+)
 
 // attempt carries one attempt to its end.
 func (s *server) attempt(transport *http.Transport, address string, a *node.Attempt) {
@@ -173,30 +190,52 @@
 }
 
 func (s *server) try(transport *http.Transport, address string, a *node.Attempt) (node.Result, error) {
+	for fresh := 0; ; fresh++ {
+		result, kept, err := s.once(transport, address, a)
+		// A kept connection that had ended, or held what nobody asked for, took nothing of the request: this is
+		// no failure of the server, and no second attempt.
+		if result.Code != standpoint.NoConnection || !kept || fresh >= freshTries {
+			return result, err
+		}
+	}
+}
+
+// once sends the request over one connection, a kept one where there is one, and carries its answer.
+func (s *server) once(transport *http.Transport, address string, a *node.Attempt) (result node.Result, kept bool, err error) {
 	var wrote atomic.Bool
+	var used atomic.Pointer[link]
 	// Whether the request may have run is told by its last byte: before that is written no server starts.
 	ctx := httptrace.WithClientTrace(a.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			kept = info.Reused
+			l, _ := info.Conn.(*link)
+			used.Store(l)
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) }})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	request, err := newRequest(ctx, address, a)
 	if err != nil {
-		return node.Result{Code: standpoint.NotSent}, err
+		return node.Result{Code: standpoint.NotSent}, false, err
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return node.Result{Code: failure(ctx, wrote.Load())}, err
+		l := used.Load()
+		return node.Result{Code: failure(ctx, wrote.Load() && l != nil && l.sent(), l)}, kept, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusOK {
-		return s.stream(ctx, cancel, response, a)
+		result, err = s.stream(ctx, cancel, response, a, used.Load())
+		return result, kept, err
 	}
-	result := node.Result{Code: standpoint.ServerError, Report: parseReport(response.Header.Get(LoadHeader))}
+	result = node.Result{Code: standpoint.ServerError, Report: parseReport(response.Header.Get(LoadHeader))}
 	if response.Header.Get(neverRan) == "1" {
 		result.Code = standpoint.TurnedAway
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, drainMost)) // so that the connection can be kept
-	return result, fmt.Errorf("answered %s", response.Status)
+	// So that the connection can be kept; but a body that does not come must not hold up the next attempt.
+	defer time.AfterFunc(drainTime, func() { cancel(errQuiet) }).Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, drainMost))
+	return result, kept, fmt.Errorf("answered %s", response.Status)
 }
 
 func newRequest(ctx context.Context, address string, a *node.Attempt) (*http.Request, error) {
@@ -216,8 +255,9 @@
 	return request, nil
 }
 
-// failure says how an attempt without an answer ended.
-func failure(ctx context.Context, wrote bool) standpoint.Code {
+// failure says how an attempt without a whole answer ended. An answer that cannot be read shows, unlike a lost
+// connection, that the server is there: it is an error of this one request.
+func failure(ctx context.Context, wrote bool, l *link) standpoint.Code {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, node.ErrNoAnswer):
 		return standpoint.NoAnswer
@@ -225,46 +265,64 @@
 		return standpoint.Cancelled
 	case !wrote:
 		return standpoint.NoConnection
+	case errors.Is(cause, errNoEvent), l != nil && l.unreadable():
+		return standpoint.ServerError
 	}
 	return standpoint.ConnectionLost
 }
 
-// stream passes an answer on, whole events at a time, as they come. The first claims the flow.
+// stream passes an answer on, whole events at a time, as they come. The first claims the flow. What is no event
+// is not passed on, and the stream ends there, broken.
 func (s *server) stream(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response,
-	a *node.Attempt) (node.Result, error) {
+	a *node.Attempt, l *link) (node.Result, error) {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return node.Result{Code: standpoint.ServerError}, errors.New("an answer whose end cannot be told from a break")
+	}
 	// Connections to a machine that vanished stay open and silent; the client is not left waiting on one.
-	quiet := time.AfterFunc(time.Hour, func() { cancel(errQuiet) })
-	defer quiet.Stop()
+	begun := false
+	quiet := time.AfterFunc(openQuiet, func() { cancel(errNoEvent) })
+	defer func() { quiet.Stop() }()
 	end := tail{report: parseReport(response.Header.Get(LoadHeader))}
 	buffer := make([]byte, 0, readSize)
-	begun := false
+	size := 0
 	for {
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		size += n
 		whole := bytes.LastIndex(buffer, []byte("\n\n")) + 2
 		if err == io.EOF && begun {
 			whole = len(buffer)
 		}
 		if whole > 1 {
-			if !begun && !a.First() {
-				return node.Result{Code: failure(ctx, true)}, errors.New("the flow is over")
+			if noted := end.note(buffer[:whole]); noted != nil {
+				return node.Result{Code: standpoint.ServerError}, noted
+			}
+			if !begun {
+				if !a.First() {
+					return node.Result{Code: failure(ctx, true, nil)}, errors.New("the flow is over")
+				}
+				begun = true
+				quiet.Stop()
+				quiet = time.AfterFunc(streamQuiet, func() { cancel(errQuiet) })
 			}
-			begun = true
 			quiet.Reset(streamQuiet)
-			end.note(buffer[:whole])
 			if err := a.Event(buffer[:whole]); err != nil {
 				return node.Result{Code: standpoint.Cancelled}, err
 			}
 			buffer = append(buffer[:0], buffer[whole:]...)
 		}
 		switch {
-		case err == io.EOF && begun:
+		case err == io.EOF && begun && end.done:
 			return node.Result{Code: standpoint.Served, Kept: end.kept, Report: end.report}, nil
+		case err == io.EOF:
+			return node.Result{Code: standpoint.ServerError, Report: end.report}, errors.New("the answer ends before its last event")
 		case err != nil:
-			return node.Result{Code: failure(ctx, true), Report: end.report}, err
+			return node.Result{Code: failure(ctx, true, l), Report: end.report}, err
+		case len(buffer) > eventMost, size > streamMost:
+			return node.Result{Code: standpoint.ServerError}, errors.New("the answer, or one event of it, does not end")
 		}
 	}
 }
--- /dev/null
+++ b/internal/realserver/story_test.go
@@ -0,0 +1,107 @@
+package realserver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"standpoint/internal/testpeer"
+)
+
+var begun = testpeer.OpenAnswer + testpeer.Chunk("data: {\"choices\":[{}]}\n\n")
+
+// What cannot be read before the first event is a failed attempt: the request goes out again, and what the server
+// sent does not reach the client.
+func TestSpoiltOpenings(t *testing.T) {
+	for name, text := range map[string]string{
+		"noise":             "\x00\x9c noise\r\n\r\n",
+		"status":            "HTTP/1.1 2x0 what\r\n\r\n",
+		"endless head":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: and more\r\n", 2000),
+		"chunk size":        testpeer.OpenAnswer + "zz\r\ndata: {}\n\n\r\n",
+		"no event":          testpeer.OpenAnswer + testpeer.Chunk("noise\n\n"),
+		"half a JSON value": testpeer.OpenAnswer + testpeer.Chunk("data: {\n\n"),
+		"endless event":     testpeer.OpenAnswer + "b2d05e00\r\ndata: " + strings.Repeat("x", 100<<10),
+		"end at once":       testpeer.OpenAnswer + "0\r\n\r\n",
+		"silence":           testpeer.OpenAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int32
+			server := testpeer.RawServer(t, func(c net.Conn) {
+				if asked.Add(1) == 1 {
+					_, _ = io.WriteString(c, text)
+				} else {
+					_, _ = io.WriteString(c, testpeer.Answer("whole"))
+				}
+			})
+			n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("a", server), testpeer.Entry("b", server))
+			status, _, body, err := n.Do(n.Chat(t.Context(), nil))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			require.Contains(t, body, "whole")
+			require.EqualValues(t, 2, asked.Load())
+		})
+	}
+}
+
+// What is spoilt after the first event ends the client's connection soon, and without the last chunk.
+func TestSpoiltLater(t *testing.T) {
+	for name, text := range map[string]string{
+		"chunk size":          "zz\r\ndata: {}\n\n\r\n0\r\n\r\n",
+		"chunk too short":     "4\r\ndata: {\"choices\":[{}]}\n\n\r\n0\r\n\r\n",
+		"chunk too long":      "30\r\ndata: {\"choices\":[{}]}\n\n\r\n17\r\ndata: {\"choices\":[{}]}\n\n\r\n0\r\n\r\n",
+		"3 GB that keep on":   "b2d05e00\r\n" + strings.Repeat("\x01\x02noise", 20<<10),
+		"3 GB without a line": "b2d05e00\r\ndata: " + strings.Repeat("x", 100<<10),
+		"no last event":       "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.RawServer(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, begun+text)
+			})))
+			from := time.Now()
+			status, _, body, err := n.Do(n.Chat(t.Context(), nil))
+			require.Equal(t, http.StatusOK, status)
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			require.Less(t, time.Since(from), 5*time.Second)
+			require.NotContains(t, body, "noise")
+		})
+	}
+}
+
+// Good answers that bring more than belongs to them are passed on, and what they bring is taken for nobody's.
+func TestGoodAnswersWithMore(t *testing.T) {
+	for name, script := range map[string]func(io.Writer, string){
+		"1xx ahead": func(w io.Writer, answer string) {
+			_, _ = io.WriteString(w, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"+answer)
+		},
+		"unreadable report": func(w io.Writer, answer string) {
+			report := testpeer.Chunk(": Endpoint-Load-Metrics: TEXT x0=NaN, x1=, util=-3\n\n")
+			_, _ = io.WriteString(w, strings.Replace(answer, "0\r\n\r\n", report+"0\r\n\r\n", 1))
+		},
+		"second answer behind": func(w io.Writer, answer string) {
+			_, _ = io.WriteString(w, answer+testpeer.Answer("stray"))
+		},
+		"and in pieces": func(w io.Writer, answer string) {
+			_, _ = io.WriteString(w, answer)
+			_, _ = io.WriteString(w, testpeer.Answer("stray"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.RawServer(t, func(c net.Conn) {
+				script(c, testpeer.Answer("own"))
+			})))
+			for range 20 {
+				status, _, body, err := n.Do(n.Chat(t.Context(), nil))
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+				require.Contains(t, body, "own")
+				require.NotContains(t, body, "stray")
+			}
+		})
+	}
+}
--- a/internal/realserver/stream.go
+++ b/internal/realserver/stream.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -12,7 +14,8 @@
 // LoadHeader is the name of the load report, as a header and in the comment line at a stream's end.
 const LoadHeader = "Endpoint-Load-Metrics"
 
-// parseReport reads a load report in its text form: TEXT x0=0.4, x1=1.2, util=0.61. Nil: there is none.
+// parseReport reads a load report in its text form: TEXT x0=0.4, x1=1.2, util=0.61. Nil: there is none, or
+// one that cannot be read; half of one would pass for a load that nobody reported.
 func parseReport(s string) *standpoint.Report {
 	s, ok := strings.CutPrefix(strings.TrimSpace(s), "TEXT ")
 	if !ok {
@@ -22,18 +25,15 @@
 	found := false
 	for _, pair := range strings.Split(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
+		to := map[string]*float64{"x0": &r.Memory, "x1": &r.Unread, "util": &r.Slots, "load_share": &r.Slots}[name]
+		if to == nil {
 			continue
 		}
-		switch name {
-		case "x0":
-			r.Memory, found = v, true
-		case "x1":
-			r.Unread, found = v, true
-		case "util", "load_share":
-			r.Slots, found = v, true
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= reportMost) {
+			return nil
 		}
+		*to, found = v, true
 	}
 	if !found {
 		return nil
@@ -41,21 +41,29 @@
 	return &r
 }
 
-// tail is what the last events of a stream tell: tokens found kept, and a load report.
+// reportMost is above any load: the largest is that of thousands of tokens unread.
+const reportMost = 1e6
+
+// tail is what the last events of a stream tell: tokens found kept, a load report, and that there is no more.
 type tail struct {
 	kept   float64
 	report *standpoint.Report
+	done   bool
 }
 
 var (
-	usageKey = []byte(`"usage"`)
-	dataMark = []byte("data:")
-	loadMark = []byte(": " + LoadHeader + ":")
+	usageKey   = []byte(`"usage"`)
+	dataMark   = []byte("data:")
+	doneMark   = []byte("[DONE]")
+	loadMark   = []byte(": " + LoadHeader + ":")
+	otherMarks = [][]byte{[]byte(":"), []byte("event:"), []byte("id:"), []byte("retry:")}
 )
 
-// note looks through whole events. Only the event that carries the usage is decoded.
-func (t *tail) note(events []byte) {
+// note looks through whole events: each line must be one that an event of a chat stream can have. Only the event
+// that carries the usage is decoded.
+func (t *tail) note(events []byte) error {
 	for line := range bytes.Lines(events) {
+		line = bytes.TrimRight(line, "\r\n")
 		if report, ok := bytes.CutPrefix(line, loadMark); ok {
 			if r := parseReport(string(report)); r != nil {
 				t.report = r
@@ -63,18 +71,30 @@
 			continue
 		}
 		data, ok := bytes.CutPrefix(line, dataMark)
-		if !ok || !bytes.Contains(data, usageKey) {
-			continue
-		}
-		var u struct {
-			Usage *struct {
-				Details struct {
-					Cached float64 `json:"cached_tokens"`
-				} `json:"prompt_tokens_details"`
-			} `json:"usage"`
-		}
-		if json.Unmarshal(data, &u) == nil && u.Usage != nil {
-			t.kept = u.Usage.Details.Cached
+		data = bytes.TrimSpace(data)
+		switch {
+		case ok && bytes.Equal(data, doneMark):
+			t.done = true
+		case ok && (t.done || !json.Valid(data)):
+			return errors.New("an event that cannot be read, or one behind the last")
+		case ok && bytes.Contains(data, usageKey):
+			t.usage(data)
+		case !ok && len(line) > 0 && !slices.ContainsFunc(otherMarks, func(m []byte) bool { return bytes.HasPrefix(line, m) }):
+			return errors.New("a line that is no part of an event")
 		}
 	}
+	return nil
+}
+
+func (t *tail) usage(data []byte) {
+	var u struct {
+		Usage *struct {
+			Details struct {
+				Cached float64 `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(data, &u) == nil && u.Usage != nil {
+		t.kept = u.Usage.Details.Cached
+	}
 }
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -3,6 +3,7 @@
 package testpeer
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +46,7 @@
 	Room    *edge.Room
 	URL     string // of its edge
 	Address string
+	asked   atomic.Uint64
 	t       testing.TB
 }
 
@@ -76,6 +79,14 @@
 	return n
 }
 
+// Dial opens an edge connection.
+func (n *Node) Dial() net.Conn {
+	c, err := net.Dial("tcp", n.Address)
+	require.NoError(n.t, err)
+	n.t.Cleanup(func() { c.Close() })
+	return c
+}
+
 // Tell gives the node a whole list.
 func (n *Node) Tell(entries ...node.ServiceEntry) {
 	n.Core.News(node.List{Kind: standpoint.ListFull, Entries: entries})
@@ -96,6 +107,47 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// RawServer starts a real server that answers each request by the script, which writes to the connection what it
+// will. The connection stays open.
+func RawServer(t testing.TB, script func(c net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					script(c)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Answer is a whole answer as it stands on the wire, with some content.
+func Answer(content string) string {
+	return OpenAnswer + Chunk(fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", content)) +
+		Chunk("data: [DONE]\n\n") + "0\r\n\r\n"
+}
+
+// Chunk is a piece of a stream as it stands on the wire.
+func Chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// OpenAnswer is the head of a stream.
+const OpenAnswer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // Event writes one event of a stream with some content, and flushes it.
 func Event(w http.ResponseWriter, content string) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -115,7 +167,8 @@
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, n.URL+"/v1/chat/completions",
 		strings.NewReader(`{"model":"chat","stream":true,"messages":[{"role":"user","content":"hello"}]}`))
 	require.NoError(n.t, err)
-	for k, v := range map[string]string{"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Qos": "chat", "X-Customer": "acme",
+	id := fmt.Sprintf("%016x", 0x9b1f03aa5c7e2d40+n.asked.Add(1))
+	for k, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "chat", "X-Customer": "acme",
 		"X-Object": "7f3a9c21e0b4d655", "X-Expires-In": "2000m", "X-Props": "prompt_len=12,max_out=8"} {
 		r.Header.Set(k, v)
 	}
