--- a/cmd/standpoint/main.go
+++ b/cmd/standpoint/main.go
@@ -28,6 +28,8 @@
 const (
 	lateClients  = 600 * time.Millisecond // after SIGTERM clients still come for up to 0.4 s
 	shutdownTime = time.Minute            // in which what was taken must be answered
+	logsFirst    = 20                     // lines of one message in a second, and every
+	logsThen     = 200                    // so many further ones
 )
 
 func main() {
