SIGHUP reads the configuration again; the watch moves to the new discovery at once

At fault: cmd/standpoint/main.go notified only SIGTERM and SIGINT; PROXY_DISCOVERY would have won over the new file's address. The watcher drops the open call, takes the whole list of the new discovery (versions of two discoveries do not compare) and asks again by itself, 50 ms to 0.5 s apart, until it has it.

--- a/cmd/standpoint/main.go
+++ b/cmd/standpoint/main.go
@@ -53,12 +53,16 @@
 	core         *node.Core
 	handler      func(*node.Life) http.Handler
 	actors       []func(context.Context) // run until the program stops
+	reread       func() (config.Limits, error)
 	close        func() error
 }
 
 func run(operator string, log *zap.Logger) error {
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	hangup := make(chan os.Signal, 1) // holds one wish to read the configuration again
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	var p *program
 	var err error
 	if operator != "" {
@@ -75,10 +79,7 @@
 		}
 	}()
 	log = log.With(zap.String("node", p.name))
-	// The heap stays well under the limit; stacks, buffers of the kernel and the binary take the rest.
-	debug.SetMemoryLimit(int64(p.limits.MemoryMB) << 20 * 6 / 10)
-	runtime.GOMAXPROCS(max(1, int(p.limits.Cores+0.5)))
-
+	confine(p.limits)
 	listener, err := net.Listen("tcp", p.listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -91,6 +92,7 @@
 	}
 	room := edge.NewRoom(listener, p.limits.EdgeConnections())
 	server := edge.NewServer(p.handler(life), room, log)
+	go reload(actors, hangup, p, room, log)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(room) }()
 	if err := life.Move(node.Serving); err != nil {
@@ -106,6 +108,13 @@
 	return drain(life, server, p.core, log)
 }
 
+// confine keeps the process within its limits. The heap stays well under that of memory; stacks, buffers of the
+// kernel and the binary take the rest.
+func confine(l config.Limits) {
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 6 / 10)
+	runtime.GOMAXPROCS(max(1, int(l.Cores+0.5)))
+}
+
 // drain goes on accepting while clients still come, then answers all that was taken.
 func drain(life *node.Life, server *http.Server, core *node.Core, log *zap.Logger) error {
 	if err := life.Move(node.Draining); err != nil {
--- a/cmd/standpoint/wiring.go
+++ b/cmd/standpoint/wiring.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"time"
 
@@ -50,8 +51,22 @@
 	watcher := entries.NewWatcher(cfg.Discovery, names, seq, news, log)
 	p.core = node.New(node.Options{Settings: cfg.Settings, Seed: cfg.Seed, MaxFlows: cfg.Limits.Flows(),
 		Servers: fleet, Entries: watcher, Log: log})
+	front := &edge.Front{Core: p.core, Names: cfg.Names, Log: log}
 	p.handler = func(life *node.Life) http.Handler {
-		return (&edge.Front{Core: p.core, Life: life, Names: cfg.Names, Log: log}).Handler()
+		front.Life = life
+		return front.Handler()
+	}
+	p.reread = func() (config.Limits, error) {
+		next, err := cfg.Reread(os.Getenv)
+		if err != nil {
+			return cfg.Limits, err
+		}
+		adjust(fleet, p.core, front, next.Settings, next.Names, next.Limits)
+		if next.Discovery != cfg.Discovery || !reflect.DeepEqual(next.Names, cfg.Names) {
+			watcher.Move(next.Discovery, entries.Names{Zones: next.Names.Zones, Kinds: next.Names.Kinds})
+		}
+		cfg = next
+		return cfg.Limits, nil
 	}
 	news(known) // what this node last held; it may be old, and the first watch puts it right
 	p.actors = []func(context.Context){p.core.Run, watcher.Run, keeper.Run}
@@ -59,6 +74,14 @@
 	return p, nil
 }
 
+// adjust hands new settings to those who work by them.
+func adjust(fleet *realserver.Fleet, core *node.Core, front *edge.Front, settings standpoint.Settings,
+	names config.Names, limits config.Limits) {
+	fleet.Adjust(names.DialTimeout, names.ConnIdle, limits.IdleLinks())
+	core.Adjust(settings, limits.Flows())
+	front.Rename(names)
+}
+
 // fromOperator puts the node together as an operator's file says.
 func fromOperator(path string, log *zap.Logger) (*program, error) {
 	cfg, err := config.ReadOperator(path)
@@ -96,10 +119,24 @@
 		p.core.News(known)
 	}
 	p.actors = []func(context.Context){p.core.Run, keeper.Run, source.Run}
+	single := &edge.Front{Core: p.core, Names: cfg.Names, Log: log}
 	front := func(life *node.Life) http.Handler {
-		return (&edge.Front{Core: p.core, Life: life, Names: cfg.Names, Log: log}).Handler()
+		single.Life = life
+		return single.Handler()
 	}
 	p.handler = front
+	p.reread = func() (config.Limits, error) {
+		next, err := cfg.Reread(path)
+		if err != nil {
+			return cfg.Bounds, err
+		}
+		adjust(fleet, p.core, single, next.Settings, next.Names, next.Bounds)
+		if next.Entries.Source == "list" {
+			news(listed(next))
+		}
+		cfg = next
+		return cfg.Bounds, nil
+	}
 	if !cfg.Batch.Enabled {
 		return p, nil
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"reflect"
 	"slices"
 	"time"
 
@@ -138,6 +140,36 @@
 	return o, o.complete()
 }
 
+// Reread reads the file again for a program that runs. The real servers, classes, tenants, module and limits may
+// change; what the program has bound, opened or promised to batches by its start may not.
+func (o Operator) Reread(path string) (Operator, error) {
+	next, err := ReadOperator(path)
+	if err != nil {
+		return o, err
+	}
+	for _, fixed := range []struct {
+		key      string
+		was, now any
+	}{
+		{"name", o.Name, next.Name},
+		{"listen", o.Listen, next.Listen},
+		{"entries", o.Entries, next.Entries},
+		{"batch", o.Batch, next.Batch},
+		{"batch_server", o.BatchServer, next.BatchServer},
+		{"store", o.Store, next.Store},
+		{"module.zones", o.Names.Zones, next.Names.Zones},
+		{"module.kinds", o.Names.Kinds, next.Names.Kinds},
+	} {
+		if !reflect.DeepEqual(fixed.was, fixed.now) {
+			return o, fmt.Errorf("%s: cannot change while the program runs", fixed.key)
+		}
+	}
+	if o.Batch.Enabled && !(slices.Equal(o.Names.Classes, next.Names.Classes) && slices.Equal(o.Names.Tenants, next.Names.Tenants)) {
+		return o, errors.New("class, tenant: names cannot change while batches run")
+	}
+	return next, nil
+}
+
 func or[T comparable](v *T, standard T) {
 	var zero T
 	if *v == zero {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -65,6 +65,26 @@
 	return decodePlatform(raw, getenv)
 }
 
+// Reread reads the file again for a program that runs. What the variables said at its start is as old as the
+// program: for all that may change since, the file alone holds.
+func (p Platform) Reread(getenv func(string) string) (Platform, error) {
+	next, err := FromPlatform(func(key string) string {
+		if key == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return getenv(key)
+	})
+	switch {
+	case err != nil:
+		return p, err
+	case next.Name != p.Name:
+		return p, fmt.Errorf("name: cannot change from %q to %q while the program runs", p.Name, next.Name)
+	case next.Listen != p.Listen:
+		return p, fmt.Errorf("listen: cannot change from %q to %q while the program runs", p.Listen, next.Listen)
+	}
+	return next, nil
+}
+
 func decodePlatform(raw []byte, getenv func(string) string) (Platform, error) {
 	var w struct {
 		Name       string          `json:"name"`
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,10 +41,12 @@
 	Names   config.Names
 	Log     *zap.Logger
 	ids     ids
-	classes map[string]int
-	tenants map[string]int
+	indexes atomic.Pointer[indexes]
 }
 
+// indexes are the module's numbers for the names of classes and tenants.
+type indexes struct{ classes, tenants map[string]int }
+
 // NewServer makes the server whose connections the room holds. A client that does not bring its request whole
 // within readTime of connecting is shut out: an answer or a close is owed within 3 s.
 func NewServer(h http.Handler, room *Room, log *zap.Logger) *http.Server {
@@ -53,14 +56,19 @@
 
 // Handler returns the front's HTTP handler.
 func (f *Front) Handler() http.Handler {
-	f.classes, f.tenants = indexes(f.Names.Classes), indexes(f.Names.Tenants)
+	f.Rename(f.Names)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_health", f.health)
 	mux.HandleFunc("POST "+chatTarget, f.chat)
 	return mux
 }
 
-func indexes(names []string) map[string]int {
+// Rename changes the names that requests may give, from the next request on.
+func (f *Front) Rename(names config.Names) {
+	f.indexes.Store(&indexes{index(names.Classes), index(names.Tenants)})
+}
+
+func index(names []string) map[string]int {
 	m := map[string]int{}
 	for i, n := range names {
 		m[n] = i
@@ -202,10 +210,11 @@
 		return bad("X-Trace-Id", "missing, or not 1 to 64 letters, digits, dots, dashes and underscores")
 	}
 	var ok bool
-	if q.Class, ok = f.classes[h.Get("X-Qos")]; !ok {
+	known := f.indexes.Load()
+	if q.Class, ok = known.classes[h.Get("X-Qos")]; !ok {
 		return bad("X-Qos", fmt.Sprintf("unknown class %q", h.Get("X-Qos")))
 	}
-	if q.Tenant, ok = f.tenants[h.Get("X-Customer")]; !ok && len(f.tenants) > 0 {
+	if q.Tenant, ok = known.tenants[h.Get("X-Customer")]; !ok && len(known.tenants) > 0 {
 		return bad("X-Customer", fmt.Sprintf("unknown tenant %q", h.Get("X-Customer")))
 	}
 	var err error
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,7 +23,11 @@
 const (
 	watchWait  = 20 * time.Second // asked of discovery
 	watchSlack = 2 * time.Second  // beyond which a watch without an answer has failed
+	wholeTime  = 2 * time.Second  // for the whole list of a new discovery
 	bodyMost   = 4 << 20
+
+	moveRest     = 50 * time.Millisecond // after a call to a new discovery that failed; doubled each time
+	moveRestMost = 500 * time.Millisecond
 )
 
 // Names turns the list's words into the module's indexes.
@@ -87,23 +92,39 @@
 	return -1
 }
 
-// Watcher is the actor. Its mailbox holds one wish to watch; more are the same wish.
+// Watcher is the actor. Its mailbox holds one wish to watch, more being the same wish, and the newest address.
 type Watcher struct {
-	base  string
-	names Names
-	seq   int64
 	news  func(node.List)
 	log   *zap.Logger
 	wish  chan struct{}
+	moves chan discovery
+
+	// The actor's alone.
+	at    discovery
 	http  *http.Client
+	seq   int64 // version of the list held; it says nothing to another discovery
+	moved bool  // the list held is another discovery's
+	fails int   // calls in a row that failed since the move
+}
+
+// discovery is where the list is had, and its words.
+type discovery struct {
+	base  string
+	names Names
 }
 
 // NewWatcher makes the actor; seq is the version of the list that the core holds already.
 func NewWatcher(address string, names Names, seq int64, news func(node.List), log *zap.Logger) *Watcher {
-	return &Watcher{base: "http://" + address + "/catalog/members", names: names, seq: seq, news: news, log: log,
-		wish: make(chan struct{}, 1), http: &http.Client{Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
-			DisableCompression: true, MaxIdleConns: 2}}}
+	return &Watcher{at: discovery{listAt(address), names}, http: caller(), seq: seq, news: news, log: log,
+		wish: make(chan struct{}, 1), moves: make(chan discovery, 1)}
+}
+
+func listAt(address string) string { return "http://" + address + "/catalog/members" }
+
+func caller() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
+		DisableCompression: true, MaxIdleConns: 2}}
 }
 
 // Watch asks for a standing watch, without waiting.
@@ -114,32 +135,93 @@
 	}
 }
 
+// Move changes to another discovery, without waiting. Moves are told one after the other.
+func (w *Watcher) Move(address string, names Names) {
+	select {
+	case <-w.moves: // not begun, and no longer wanted
+	default:
+	}
+	w.moves <- discovery{listAt(address), names}
+}
+
 // Run keeps a watch standing once it is wished for. After a failed call the core is told, and its next
-// wish, which backs off, starts a new watch.
+// wish, which backs off, starts a new watch. After a move the actor does not wait for a wish: it asks until it has
+// the whole list of the new discovery, and goes on with that one's watch.
 func (w *Watcher) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case to := <-w.moves:
+			w.move(to)
 		case <-w.wish:
 		}
-		// The next call must follow within 200 ms of each answer, so nothing is done in between but
-		// handing on the news.
-		for ctx.Err() == nil {
-			l, err := w.call(ctx)
-			if err != nil {
-				if ctx.Err() == nil {
-					w.log.Info("watch failed", zap.Error(err))
-					w.drop()
-					w.news(node.List{Kind: standpoint.ListLost})
-				}
-				break
+		w.watch(ctx)
+	}
+}
+
+// watch calls until a call fails. The next call must follow within 200 ms of each answer, so nothing is done in
+// between but handing on the news.
+func (w *Watcher) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, stop := context.WithCancel(ctx)
+		type answer struct {
+			list node.List
+			seq  int64
+			err  error
+		}
+		answers := make(chan answer, 1)
+		go func(at discovery, after int64, whole bool) {
+			seq, l, err := ask(call, w.http, at, after, whole)
+			answers <- answer{l, seq, err}
+		}(w.at, w.seq, w.moved)
+		select {
+		case to := <-w.moves:
+			stop()
+			<-answers
+			w.move(to)
+			continue
+		case a := <-answers:
+			stop()
+			switch {
+			case ctx.Err() != nil:
+				return
+			case a.err == nil:
+				w.seq, w.moved, w.fails = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0
+				w.news(a.list)
+			case w.moved:
+				w.log.Info("the new discovery gave no list", zap.Error(a.err))
+				w.rest(ctx)
+			default:
+				w.log.Info("watch failed", zap.Error(a.err))
+				w.drop()
+				w.news(node.List{Kind: standpoint.ListLost})
+				return
 			}
-			w.news(l)
 		}
 	}
 }
 
+func (w *Watcher) move(to discovery) {
+	w.log.Info("discovery moved", zap.String("to", to.base))
+	w.http.CloseIdleConnections()
+	w.http = caller()
+	w.at, w.moved, w.fails = to, true, 0
+}
+
+// rest waits before the next call to a new discovery: briefly, for what it has to tell soon counts as told.
+func (w *Watcher) rest(ctx context.Context) {
+	timer := time.NewTimer(min(moveRestMost, moveRest<<min(w.fails, 4)))
+	defer timer.Stop()
+	w.fails++
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case to := <-w.moves:
+		w.move(to)
+	}
+}
+
 // drop forgets wishes from before a failure: the core asks anew when it is time.
 func (w *Watcher) drop() {
 	select {
@@ -148,30 +230,35 @@
 	}
 }
 
-func (w *Watcher) call(ctx context.Context) (node.List, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+// ask calls once: for the whole list, or for what is newer than the version held.
+func ask(ctx context.Context, client *http.Client, at discovery, after int64, whole bool) (int64, node.List, error) {
+	target, most := at.base, wholeTime
+	if !whole {
+		target += "?" + url.Values{"after": {strconv.FormatInt(after, 10)},
+			"wait_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)}}.Encode()
+		most = watchWait + watchSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	query := url.Values{"after": {strconv.FormatInt(w.seq, 10)},
-		"wait_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)}}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, w.base+"?"+query.Encode(), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return node.List{}, err
+		return 0, node.List{}, err
 	}
-	response, err := w.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
-		return node.List{}, err
+		return 0, node.List{}, err
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, bodyMost))
 	if err != nil {
-		return node.List{}, err
+		return 0, node.List{}, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return node.List{}, fmt.Errorf("discovery answered %s", response.Status)
+		return 0, node.List{}, fmt.Errorf("discovery answered %s", response.Status)
 	}
-	seq, l, err := Decode(raw, w.names)
-	if err == nil {
-		w.seq = seq
+	seq, l, err := Decode(raw, at.names)
+	if err == nil && whole && l.Kind != standpoint.ListFull {
+		err = errors.New("asked for the whole list, discovery told changes")
 	}
-	return l, err
+	return seq, l, err
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -66,11 +66,13 @@
 	pending []standpoint.Event // events the core itself owes the module
 	nextID  int64
 	open    atomic.Int64
+	most    atomic.Int64 // flows that may be open
 	start   time.Time
 }
 
 // Messages of the mailbox.
 type (
+	adjusted   struct{ settings standpoint.Settings }
 	taken      struct{ f *Flow }
 	left       struct{ f *Flow }
 	firstEvent struct {
@@ -86,8 +88,10 @@
 
 // New makes a core; Run starts it.
 func New(o Options) *Core {
-	return &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), mail: make(chan any, mailboxSize),
+	c := &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), mail: make(chan any, mailboxSize),
 		stopped: make(chan struct{}), flows: map[int64]*Flow{}, start: time.Now()}
+	c.most.Store(int64(o.MaxFlows))
+	return c
 }
 
 // clock is Unix time in nanoseconds that never goes backwards, as service entries' starts are told in it.
@@ -108,6 +112,12 @@
 // News hands a change of the service entries to the module.
 func (c *Core) News(l List) { c.post(l) }
 
+// Adjust takes on new settings. Flows that are open keep the deadlines that they came with.
+func (c *Core) Adjust(settings standpoint.Settings, maxFlows int) {
+	c.most.Store(int64(maxFlows))
+	c.post(adjusted{settings})
+}
+
 // Stopped is closed when the core has stopped.
 func (c *Core) Stopped() <-chan struct{} { return c.stopped }
 
@@ -116,7 +126,7 @@
 
 // Serve takes a flow on and returns its one final answer. When ctx ends, the client has gone.
 func (c *Core) Serve(ctx context.Context, f *Flow) (Answer, error) {
-	if c.open.Add(1) > int64(c.MaxFlows) {
+	if c.open.Add(1) > c.most.Load() {
 		c.open.Add(-1)
 		return Answer{}, ErrBusy
 	}
@@ -167,6 +177,9 @@
 			news.Engines = append(news.Engines, e.Engine)
 		}
 		c.decide(news)
+	case adjusted:
+		c.Settings = m.settings
+		c.router.Adjust(m.settings)
 	case taken:
 		c.nextID++
 		m.f.Request.ID = c.nextID
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,8 +44,9 @@
 	Log         *zap.Logger
 }
 
-// Fleet holds the actors of the real servers. Its methods are the core's alone.
+// Fleet holds the actors of the real servers. Its methods are the core's, but for Adjust.
 type Fleet struct {
+	mu sync.Mutex
 	Options
 	servers map[string]actor
 }
@@ -58,6 +60,8 @@
 	if l.Kind == standpoint.ListLost {
 		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	listed := map[string]bool{}
 	for _, e := range l.Entries {
 		listed[e.Name] = e.State != standpoint.Gone
@@ -95,9 +99,21 @@
 	return a
 }
 
+// Adjust changes the limits under which servers are reached, from their next connections on.
+func (f *Fleet) Adjust(dial, idle time.Duration, maxIdle int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.DialTimeout, f.ConnIdle, f.MaxIdle = dial, idle, maxIdle
+	for _, s := range f.servers {
+		s.tell(limits{dial, idle, maxIdle})
+	}
+}
+
 // Send hands an attempt to its server's actor, without waiting.
 func (f *Fleet) Send(a *node.Attempt) bool {
+	f.mu.Lock()
 	s, known := f.servers[a.Server]
+	f.mu.Unlock()
 	return known && s.tell(a)
 }
 
@@ -112,6 +128,10 @@
 	moved    string
 	draining struct{}
 	gone     struct{}
+	limits   struct {
+		dial, idle time.Duration
+		maxIdle    int
+	}
 )
 
 // tell never waits: the core must not stand behind a real server.
@@ -145,6 +165,10 @@
 				connections.CloseIdleConnections()
 				connections, address = transport(s.Options), string(m)
 			}
+		case limits:
+			s.DialTimeout, s.ConnIdle, s.MaxIdle = m.dial, m.idle, m.maxIdle
+			connections.CloseIdleConnections()
+			connections = transport(s.Options)
 		case gone:
 			return
 		}
--- a/state.go
+++ b/state.go
@@ -228,6 +228,22 @@
 	return now-a.sent > max(overdueLeast, int64(overdueTimes*a.ttft*1e9))
 }
 
+// Adjust takes on new settings. What was learned is kept, but for classes, kinds and tenants whose number has
+// changed: which of them is which is then not known.
+func (r *Router) Adjust(settings Settings) {
+	blank := New(settings, 0)
+	if len(blank.gain) != len(r.gain) {
+		r.gain, r.gaps = blank.gain, blank.gaps
+	}
+	if len(blank.ttft) != len(r.ttft) {
+		r.ttft, r.pace = blank.ttft, blank.pace
+	}
+	if len(blank.tenants) != len(r.tenants) {
+		r.tenants = blank.tenants
+	}
+	r.set = settings
+}
+
 // relist forgets engines that are gone and idle, and orders the ready ones by name.
 func (r *Router) relist() {
 	r.ready = r.ready[:0]
