--- a/cmd/standpoint/main_test.go
+++ b/cmd/standpoint/main_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"standpoint/internal/config"
 	"standpoint/internal/store"
@@ -91,6 +92,63 @@
 	require.NoError(t, <-exit)
 }
 
+// SIGHUP reads the file again: a faulty one changes nothing and is logged by its key, a good one changes the real
+// servers.
+func TestHangup(t *testing.T) {
+	server := func(name string) string {
+		return testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+			testpeer.Event(w, name)
+			testpeer.Finish(w)
+		})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listen := l.Addr().String()
+	l.Close()
+	path := operatorFile(t, listen, server("old"))
+	seen, logs := observer.New(zap.InfoLevel)
+	exit := make(chan error, 1)
+	go func() { exit <- run(path, zap.New(seen)) }()
+	asked := 0
+	ask := func() string {
+		asked++
+		r, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader(`{"messages":[]}`))
+		require.NoError(t, err)
+		for k, v := range map[string]string{"X-Trace-Id": fmt.Sprint("t-", asked), "X-Qos": "chat", "X-Expires-In": "3000m"} {
+			r.Header.Set(k, v)
+		}
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return ""
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return string(body)
+	}
+	answers := func(name string) func() bool { return func() bool { return strings.Contains(ask(), name) } }
+	require.Eventually(t, answers("old"), 5*time.Second, 5*time.Millisecond)
+	hangup := func(text string) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	}
+	good, err := os.ReadFile(path)
+	require.NoError(t, err)
+	hangup(strings.Replace(string(good), `first_token = "1s"`, `first_token = "-1s"`, 1))
+	require.Eventually(t, func() bool {
+		for _, e := range logs.FilterLevelExact(zap.ErrorLevel).All() {
+			return strings.Contains(fmt.Sprint(e.ContextMap()["error"]), "class[0].first_token:")
+		}
+		return false
+	}, 5*time.Second, 5*time.Millisecond)
+	require.True(t, answers("old")())
+	begin := strings.Index(string(good), "[[real_server]]")
+	hangup(string(good[:begin]) + fmt.Sprintf("[[real_server]]\nname = \"box-2\"\naddress = %q\n", server("new")) +
+		string(good[strings.Index(string(good), "[batch]"):]))
+	require.Eventually(t, answers("new"), 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.NoError(t, <-exit)
+}
+
 // The leader's shared settings stand in the store.
 func TestAgree(t *testing.T) {
 	cfg, err := config.ReadOperator(operatorFile(t, "127.0.0.1:1", "127.0.0.1:2"))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,6 +41,35 @@
 	require.ErrorContains(t, err, "PROXY_CONFIG:")
 }
 
+// A program that runs reads the file's own discovery: the variable is as old as the program. Name and address are
+// bound, and a faulty file changes nothing.
+func TestReread(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	getenv := func(key string) string {
+		return map[string]string{"PROXY_CONFIG": path, "PROXY_DISCOVERY": "127.2.0.1:8500"}[key]
+	}
+	write(platform)
+	first, err := FromPlatform(getenv)
+	require.NoError(t, err)
+	write(strings.NewReplacer("127.2.0.1:8500", "127.2.0.9:8501", `"memory_mb":192`, `"memory_mb":64`).Replace(platform))
+	next, err := first.Reread(getenv)
+	require.NoError(t, err)
+	require.Equal(t, "127.2.0.9:8501", next.Discovery)
+	require.Equal(t, 64, next.Limits.MemoryMB)
+	for fault, key := range map[string]string{
+		strings.Replace(platform, "127.0.0.4:8443", "127.0.0.5:8443", 1): "listen:",
+		strings.Replace(platform, `"n3"`, `"n4"`, 1):                     "name:",
+		strings.Replace(platform, "127.2.0.1:8500", "nowhere", 1):        "discovery:",
+		"{": "configuration file:",
+	} {
+		write(fault)
+		kept, err := next.Reread(getenv)
+		require.ErrorContains(t, err, key)
+		require.Equal(t, next, kept)
+	}
+}
+
 // The file in deploy/ is read as it stands, and each fault made in it is named by its key.
 func TestOperator(t *testing.T) {
 	raw, err := os.ReadFile("../../deploy/operator.toml")
--- a/internal/entries/story_test.go
+++ b/internal/entries/story_test.go
@@ -148,3 +148,38 @@
 		return ok && len(l.Entries) == 1 && l.Entries[0].Name == "b"
 	}, time.Second, time.Millisecond)
 }
+
+// A move takes the whole list of the new discovery, though the old one's watch is open and its version is higher,
+// and though the first call fails; then the new one's watch goes on from its own version.
+func TestMove(t *testing.T) {
+	old := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer old.Close()
+	asked := make(chan string, 100)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		switch len(asked) {
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 2:
+			fmt.Fprint(w, `{"seq":7,"whole":true,"hosts":[{"host":"t","dial":"127.0.0.1:2","health":"ready"}]}`)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer next.Close()
+	news := make(chan node.List, 10)
+	w := NewWatcher(strings.TrimPrefix(old.URL, "http://"), names, 41, func(l node.List) { news <- l }, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx)
+	w.Watch()
+	w.Move(strings.TrimPrefix(next.URL, "http://"), names)
+	l := <-news
+	require.Equal(t, standpoint.ListFull, l.Kind)
+	require.Equal(t, "t", l.Entries[0].Name)
+	require.Eventually(t, func() bool { return len(asked) == 3 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, <-asked)
+	require.Empty(t, <-asked)
+	require.Equal(t, "after=7&wait_ms=20000", <-asked)
+	require.Empty(t, news, "a discovery that was left is not a failed one")
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -330,3 +330,29 @@
 		t.Errorf("router.go has %d lines, 850 at most", lines)
 	}
 }
+
+// New settings keep what was learned where they can, and a class that is gone is no fault for what is open.
+func TestAdjust(t *testing.T) {
+	set := base()
+	set.Classes = append(set.Classes, set.Classes[0])
+	set.Tenants = []Tenant{{Share: 1, QuotaRPS: 1}}
+	r := New(set, 1)
+	feed(r, second, ready("a", "b"))
+	q := ask(1, 5*second)
+	q.Class = 1
+	expect(t, feed(r, second, q), "send ")
+	r.gain[0], r.ttft[0].coef[0] = 0.9, 7
+	set.Tenants[0].QuotaRPS = 5
+	r.Adjust(set)
+	if r.gain[0] != 0.9 || r.ttft[0].coef[0] != 7 || r.set.Tenants[0].QuotaRPS != 5 {
+		t.Fatal("what was learned is lost, or the new figure not taken")
+	}
+	set.Classes, set.Tenants, set.Kinds = set.Classes[:1], nil, 1
+	r.Adjust(set)
+	e := feed(r, second, ask(2, 5*second))
+	expect(t, e, "send ")
+	feed(r, 2*second, &FirstToken{Request: 1, Elapsed: second}, &Outcome{Request: 1, Last: true, Engine: e[0].Engine})
+	if len(r.open) != 1 || len(r.ttft) != 2 || len(r.gain) != 2 {
+		t.Fatalf("%d open, %d models, %d gains", len(r.open), len(r.ttft), len(r.gain))
+	}
+}
