Module: engines that mostly err or turn down are left out; no second try where one failed

ServerError and TurnedAway counted as signs of life (router.onOutcome), and a turned-down request could go to the same engine again (mayUse). Now each engine has a share of errors and turn-downs among its latest answers; above half it is left out but for trials. A request goes elsewhere first where it failed before. A late first token of a second attempt no longer counts as the fleet's load.

--- a/router.go
+++ b/router.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 )
 
@@ -41,6 +42,8 @@
 	overdueTimes = 4.0       // a first token later than so many predictions is a sign of trouble
 	overdueLeast = 800 * ms  // and never sooner than this
 	trialEvery   = 1500 * ms // pause between trials of a suspect engine
+	sourRate     = 0.3       // of an error or turn-down in an engine's share of them
+	sourMost     = 0.5       // share from which it is left out but for trials
 	suspectMost  = 0.5       // more suspects than this share of the fleet: a shared cause, none is
 	coldMargin   = 0.4       // of rule 4's allowance that the gateways together use
 	retryShare   = 0.15      // further attempts per request, on average
@@ -314,7 +317,7 @@
 	a.first = r.now
 	r.alive(a)
 	r.observeTTFT(a, seconds(ev.Elapsed))
-	if aim := r.aim(q); aim > 0 {
+	if aim := r.aim(q); aim > 0 && a.leg == 0 { // a miss after a failed attempt is not the fleet's load
 		r.pressed(a.e, seconds(r.now-q.at) > aim)
 	}
 	if q.done {
@@ -354,8 +357,11 @@
 		r.streams--
 	}
 	switch ev.Code {
-	case Served, ServerError, TurnedAway:
+	case Served:
 		r.alive(a)
+	case ServerError, TurnedAway:
+		r.dropWaiting(a)
+		r.refused(a.e)
 	case NoAnswer, NoConnection, ConnectionLost:
 		r.dropWaiting(a)
 		if ev.Code != NoAnswer || a.overdue(r.now) {
@@ -572,6 +578,10 @@
 			all = append(all, option{e: e, match: r.match(q, e), rank: rank(q.key(), e)})
 		}
 	}
+	fresh := slices.DeleteFunc(slices.Clone(all), func(o option) bool { return q.tried(o.e) })
+	if len(fresh) > 0 {
+		all = fresh // not again where it failed, while there is another
+	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].rank > all[j].rank })
 	if unit(mix(q.key(), prefixSalt)) >= r.spill() {
 		sort.SliceStable(all, func(i, j int) bool { return r.near(all[i].e) && !r.near(all[j].e) })
@@ -802,6 +812,7 @@
 	r.dropWaiting(a)
 	a.e.heard = r.now
 	a.e.suspect, a.e.down = false, false
+	a.e.sour -= sourRate * a.e.sour
 }
 
 // suspect leaves the engine out but for trials. A connection refused or broken shows that it is down.
@@ -812,9 +823,20 @@
 	e.down = e.down || down
 }
 
-// shut tells that a suspect engine is not due for a trial.
+// refused notes an error or a turn-down. An engine that fails at once carries little, looks idle and draws
+// ever more; once most of its answers are such it is left out. What it has taken on may still be well.
+func (r *Router) refused(e *engine) {
+	e.heard = r.now
+	e.sour += sourRate * (1 - e.sour)
+	if e.sour > sourMost {
+		r.suspect(e, false)
+	}
+}
+
+// shut tells that a suspect engine is not due for a trial. One that is silent gets a single trial at a time.
 func (r *Router) shut(e *engine, ignore bool) bool {
-	return e.suspect && (e.down || !ignore) && (r.now-e.trialAt < trialEvery || e.out > 0)
+	return e.suspect && (e.down || !ignore) &&
+		(r.now-e.trialAt < trialEvery || e.out > 0 && e.sour <= sourMost)
 }
 
 // sharedTrouble tells that so many engines look bad that the cause must be shared; then none is left out.
--- a/state.go
+++ b/state.go
@@ -23,7 +23,8 @@
 	waiting    []*attempt // own attempts without a sign of life, oldest first
 	heard      int64      // last sign of life
 	suspect    bool
-	down       bool // found down, not only slow
+	down       bool    // found down, not only slow
+	sour       float64 // share of errors and turn-downs among its latest answers
 	trialAt    int64
 	coldTokens float64 // requests the cold budget allows now
 	coldAt     int64
@@ -125,6 +126,16 @@
 	return n
 }
 
+// tried tells that an attempt of the request went to e.
+func (q *request) tried(e *engine) bool {
+	for _, a := range q.attempts {
+		if a.e == e {
+			return true
+		}
+	}
+	return false
+}
+
 // key is what the request's rank among the engines hangs on.
 func (q *request) key() uint64 {
 	if q.Session != 0 {
