A lost connection is one request's error; links that servers drop rest less

Checked: the log has 52 'connection reset by peer' on connections to engines that went on serving, 14 requests written to connections that had been dropped; three attempts ended as 'no connection' after all kept links were tried; no engine had gone. At fault: router.onOutcome took one lost connection for an engine that is down, and shut kept a suspect out while any old stream ran (e.out > 0); realserver gave a kept link two tries and kept it for 7.5 s whatever the server did.

--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // lastChunk ends an answer. It cannot stand inside one: events hold no carriage returns.
@@ -12,18 +14,46 @@
 
 var errSpent = errors.New("the connection holds what no request asked for, or its end")
 
+// keep is for how long links to a real server are used again after they rested. The server may drop one without a
+// word, and the request on it ends as a reset that may have run: a link lost so shows that less is safe. A new
+// connection costs far less than an attempt.
+type keep struct{ span, lost atomic.Int64 }
+
+const (
+	keepLeast   = 20 * time.Millisecond
+	keepRegains = 20 * time.Second // without a loss, for twice the span to be tried again
+)
+
+func (k *keep) now(most time.Duration) time.Duration {
+	span, lost := time.Duration(k.span.Load()), k.lost.Load()
+	if lost == 0 {
+		return most
+	}
+	return min(most, span<<min(16, time.Since(time.Unix(0, lost))/keepRegains))
+}
+
+// short notes that a link was lost after such a rest.
+func (k *keep) short(rest, most time.Duration) {
+	k.span.Store(int64(max(keepLeast, min(rest, k.now(most))/2)))
+	k.lost.Store(time.Now().UnixNano())
+}
+
 // link is one connection to a real server. It keeps what comes behind an answer from being taken for the
 // answer to the next request: http.Transport looks for that only once nobody waits for a connection.
 type link struct {
 	net.Conn
+	keep *keep
+	most time.Duration // that it may rest
 
 	mu       sync.Mutex
-	answered bool // bytes have come since the last write
-	matched  int  // of lastChunk, bytes seen in a row
-	ended    bool // the answer's last chunk has come, and no request since
-	spent    bool // of no further use
-	broken   bool // the connection has failed or ended
-	unsent   bool // a write failed: the request's last byte is not out
+	heard    time.Time     // when bytes came last
+	rest     time.Duration // how long it had rested when the request began
+	answered bool          // bytes have come since the last write
+	matched  int           // of lastChunk, bytes seen in a row
+	ended    bool          // the answer's last chunk has come, and no request since
+	spent    bool          // of no further use
+	broken   bool          // the connection has failed or ended
+	unsent   bool          // a write failed: the request's last byte is not out
 }
 
 // Read hands on the answer and nothing behind it.
@@ -36,7 +66,9 @@
 		l.spent = true
 		return 0, errSpent
 	}
-	l.answered = l.answered || n > 0
+	if n > 0 {
+		l.answered, l.heard = true, time.Now()
+	}
 	for i, c := range b[:n] {
 		switch {
 		case c == lastChunk[l.matched]:
@@ -60,7 +92,10 @@
 // begun never ran, and goes out on another connection.
 func (l *link) Write(b []byte) (int, error) {
 	l.mu.Lock()
-	l.spent = l.spent || l.answered && l.stirring()
+	if l.answered {
+		l.rest = time.Since(l.heard)
+		l.spent = l.spent || l.rest > l.keep.now(l.most) || l.stirring()
+	}
 	l.answered, l.matched, l.ended = false, 0, false
 	l.unsent = l.spent
 	spent := l.spent
@@ -102,6 +137,15 @@
 	return err != nil || peek != syscall.EAGAIN
 }
 
+// dropped notes, after a failure, that the server had let go of a link that had rested.
+func (l *link) dropped() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rest > 0 && !l.answered && l.broken {
+		l.keep.short(l.rest, l.most)
+	}
+}
+
 // unreadable tells, after a failure, that bytes came on a connection that is still whole: the server is there,
 // and what it sent is no answer.
 func (l *link) unreadable() bool {
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -90,11 +91,11 @@
 func (f *Fleet) start(e node.ServiceEntry) actor {
 	a := actor{name: e.Name, mail: make(chan any, mailboxSize), log: f.Log}
 	if e.Batch {
-		s := &batchServer{Options: f.Options, actor: a, client: &http.Client{Transport: transport(f.Options)},
+		s := &batchServer{Options: f.Options, actor: a, client: &http.Client{Transport: transport(f.Options, &keep{})},
 			out: map[*parcel]bool{}, ended: make(chan *parcel)}
 		go s.run(e.Address)
 	} else {
-		go (&server{f.Options, a}).run(e.Address)
+		go (&server{f.Options, a, &keep{}}).run(e.Address)
 	}
 	return a
 }
@@ -149,12 +150,13 @@
 type server struct {
 	Options
 	actor
+	keep *keep
 }
 
 // run works the mailbox. Each attempt waits on its connection in a goroutine of its own: a silent
 // connection must not hold the mailbox.
 func (s *server) run(address string) {
-	connections := transport(s.Options)
+	connections := transport(s.Options, s.keep)
 	defer func() { connections.CloseIdleConnections() }()
 	for m := range s.mail {
 		switch m := m.(type) {
@@ -163,19 +165,19 @@
 		case moved:
 			if string(m) != address {
 				connections.CloseIdleConnections()
-				connections, address = transport(s.Options), string(m)
+				connections, address = transport(s.Options, s.keep), string(m)
 			}
 		case limits:
 			s.DialTimeout, s.ConnIdle, s.MaxIdle = m.dial, m.idle, m.maxIdle
 			connections.CloseIdleConnections()
-			connections = transport(s.Options)
+			connections = transport(s.Options, s.keep)
 		case gone:
 			return
 		}
 	}
 }
 
-func transport(o Options) *http.Transport {
+func transport(o Options, k *keep) *http.Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -183,7 +185,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &link{Conn: c}, nil
+			return &link{Conn: c, keep: k, most: o.ConnIdle / 2}, nil
 		},
 		MaxResponseHeaderBytes: headMost,
 		// Half of the server's own idle time: a request written to a connection that the server is closing
@@ -216,11 +218,13 @@
 func (s *server) try(transport *http.Transport, address string, a *node.Attempt) (node.Result, error) {
 	for fresh := 0; ; fresh++ {
 		result, kept, err := s.once(transport, address, a)
-		// A kept connection that had ended, or held what nobody asked for, took nothing of the request: this is
-		// no failure of the server, and no second attempt.
-		if result.Code != standpoint.NoConnection || !kept || fresh >= freshTries {
+		// A kept connection that had ended, or held what nobody asked for, and one that broke off before the
+		// request's last byte, took nothing: this is no failure of the server, and no second attempt.
+		if result.Code != standpoint.NoConnection || fresh >= freshTries || !kept && !errors.Is(err, syscall.ECONNRESET) &&
+			!errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) {
 			return result, err
 		}
+		transport.CloseIdleConnections() // they have rested for longer still
 	}
 }
 
@@ -245,6 +249,9 @@
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		l := used.Load()
+		if l != nil && kept {
+			l.dropped()
+		}
 		return node.Result{Code: failure(ctx, wrote.Load() && l != nil && l.sent(), l)}, kept, err
 	}
 	defer response.Body.Close()
--- a/internal/realserver/story_test.go
+++ b/internal/realserver/story_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -105,3 +106,29 @@
 		})
 	}
 }
+
+// A server that drops rested links without a word costs a few attempts, not one each time: links rest less then.
+func TestDroppedLinks(t *testing.T) {
+	var mu sync.Mutex
+	asked := map[net.Conn]bool{}
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.RawServer(t, func(c net.Conn) {
+		mu.Lock()
+		defer mu.Unlock()
+		if asked[c] {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			return
+		}
+		asked[c] = true
+		_, _ = io.WriteString(c, testpeer.Answer("own"))
+	})))
+	var lost []int
+	for i := range 12 {
+		status, _, _, _ := n.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Expires-In", "200m") }))
+		if status != http.StatusOK {
+			lost = append(lost, i)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	require.LessOrEqual(t, len(lost), 4, lost)
+}
--- a/router.go
+++ b/router.go
@@ -362,10 +362,13 @@
 	case ServerError, TurnedAway:
 		r.dropWaiting(a)
 		r.refused(a.e)
-	case NoAnswer, NoConnection, ConnectionLost:
+	case ConnectionLost: // one connection is not the engine; one that is down is told by the next connect
 		r.dropWaiting(a)
-		if ev.Code != NoAnswer || a.overdue(r.now) {
-			r.suspect(a.e, ev.Code != NoAnswer && a.first == 0)
+		r.refused(a.e)
+	case NoAnswer, NoConnection:
+		r.dropWaiting(a)
+		if ev.Code == NoConnection || a.overdue(r.now) {
+			r.suspect(a.e, ev.Code == NoConnection)
 		}
 	default:
 		r.dropWaiting(a)
@@ -815,7 +818,7 @@
 	a.e.sour -= sourRate * a.e.sour
 }
 
-// suspect leaves the engine out but for trials. A connection refused or broken shows that it is down.
+// suspect leaves the engine out but for trials. A connection that is refused shows that it is down.
 func (r *Router) suspect(e *engine, down bool) {
 	if !e.suspect || down {
 		e.suspect, e.trialAt = true, r.now
@@ -823,8 +826,9 @@
 	e.down = e.down || down
 }
 
-// refused notes an error or a turn-down. An engine that fails at once carries little, looks idle and draws
-// ever more; once most of its answers are such it is left out. What it has taken on may still be well.
+// refused notes an error, a turn-down or a lost connection. An engine that fails at once carries little,
+// looks idle and draws ever more; once most of its answers are such it is left out. What it has taken on may
+// still be well.
 func (r *Router) refused(e *engine) {
 	e.heard = r.now
 	e.sour += sourRate * (1 - e.sour)
@@ -836,7 +840,7 @@
 // shut tells that a suspect engine is not due for a trial. One that is silent gets a single trial at a time.
 func (r *Router) shut(e *engine, ignore bool) bool {
 	return e.suspect && (e.down || !ignore) &&
-		(r.now-e.trialAt < trialEvery || e.out > 0 && e.sour <= sourMost)
+		(r.now-e.trialAt < trialEvery || len(e.waiting) > 0 && e.sour <= sourMost)
 }
 
 // sharedTrouble tells that so many engines look bad that the cause must be shared; then none is left out.
