Module learns the token gap from the answer lengths that servers tell

Checked: first tokens, connects and turn-downs are well there; refusals are all early ones (router.tooPoor), raised by router.place where the predicted pace misses the aim. Now Outcome.Tokens carries it where it is told; the pace model trains on the gap itself, and each engine's own deviation counts by how many it has shown.

--- a/api.go
+++ b/api.go
@@ -169,6 +169,7 @@
 	Last    bool // the request is over
 	Code    Code
 	Kept    float64 // prompt tokens the engine still held, with Served
+	Tokens  float64 // of the answer, with Served; 0: not told
 	Engine  string
 	Elapsed int64
 	Report  *Report
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -196,7 +196,7 @@
 	case ended:
 		m.a.out = false
 		c.decide(&standpoint.Outcome{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg, Last: m.a.Flow.isOver(),
-			Code: m.r.Code, Kept: m.r.Kept, Engine: m.a.Server, Elapsed: int64(m.elapsed), Report: m.r.Report})
+			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Report: m.r.Report})
 		c.forget(m.a.Flow)
 	}
 }
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -123,6 +123,7 @@
 type Result struct {
 	Code   standpoint.Code
 	Kept   float64
+	Tokens float64 // of the answer; 0: not told
 	Report *standpoint.Report
 }
 
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -347,7 +347,7 @@
 		}
 		switch {
 		case err == io.EOF && begun && end.done:
-			return node.Result{Code: standpoint.Served, Kept: end.kept, Report: end.report}, nil
+			return node.Result{Code: standpoint.Served, Kept: end.kept, Tokens: end.tokens, Report: end.report}, nil
 		case err == io.EOF:
 			return node.Result{Code: standpoint.ServerError, Report: end.report}, errors.New("the answer ends before its last event")
 		case err != nil:
--- a/internal/realserver/stream.go
+++ b/internal/realserver/stream.go
@@ -44,9 +44,10 @@
 // reportMost is above any load: the largest is that of thousands of tokens unread.
 const reportMost = 1e6
 
-// tail is what the last events of a stream tell: tokens found kept, a load report, and that there is no more.
+// tail is what the last events of a stream tell: tokens found kept and made, a load report, and that there is no more.
 type tail struct {
 	kept   float64
+	tokens float64
 	report *standpoint.Report
 	done   bool
 }
@@ -89,12 +90,13 @@
 func (t *tail) usage(data []byte) {
 	var u struct {
 		Usage *struct {
+			Tokens  float64 `json:"completion_tokens"`
 			Details struct {
 				Cached float64 `json:"cached_tokens"`
 			} `json:"prompt_tokens_details"`
 		} `json:"usage"`
 	}
 	if json.Unmarshal(data, &u) == nil && u.Usage != nil {
-		t.kept = u.Usage.Details.Cached
+		t.kept, t.tokens = u.Usage.Details.Cached, u.Usage.Tokens
 	}
 }
--- a/router.go
+++ b/router.go
@@ -54,6 +54,9 @@
 	speedRate    = 0.1       // of a sample in an engine's ratio of observed to predicted
 	gapSlow      = 0.01      // rates of the usual and the present pace
 	gapFast      = 0.08
+	gapEngine    = 0.15 // and of a single engine's, where gaps are told
+	dragTrust    = 3.0  // gaps told of an engine that count half against what all show
+	toldLeast    = 5.0  // tokens of an answer that shows a gap
 	streamLeast  = 20.0 // streams that must have ended before their usual length is trusted
 	crowdChance  = 0.1  // of that sign taken to be chance
 	streamPrior  = 6.0  // streams by which both counts are padded against chance
@@ -704,7 +707,11 @@
 	k := r.kind(o.e)
 	f := math.Exp(o.e.speed)
 	o.ttft = r.ttft[k].at(&o.x) * f
-	o.pace = r.pace[k].at(&o.x) * r.gap * math.Exp(r.gapSway()+max(0, o.e.speed))
+	sway := r.gapSway() + max(0, o.e.speed)
+	if own := o.e.drag.n / (o.e.drag.n + dragTrust); own > 0 { // told gaps show this engine's own
+		sway += own * (o.e.drag.mean - sway)
+	}
+	o.pace = r.pace[k].at(&o.x) * r.gap * math.Exp(sway)
 	o.wide = o.ttft * (1 + r.ttft[k].err)
 }
 
@@ -722,10 +729,12 @@
 	a.e.speed = min(2.3, max(-0.7, a.e.speed+speedRate*(off-a.e.speed)))
 }
 
-// observePace learns the token gap. How long an answer gets is not told, only its limit, so decode time over
-// the limit falls short of the gap by an unknown share, which differs by class. The model learns how load
-// stretches a class's mean; answers that run to their limit, the top one in a hundred, show the gap itself.
-func (r *Router) observePace(a *attempt, overLimit float64) {
+// observePace learns the token gap: decode time over tokens, where it is told how long the answer was. Else
+// only the answer's limit is known, and decode time over it falls short of the gap by an unknown share, which
+// differs by class. The model learns how load stretches a class's mean; answers that run to their limit, the
+// top one in a hundred, show the gap itself.
+func (r *Router) observePace(a *attempt, decode, tokens float64) {
+	overLimit := decode / a.q.MaxTokens
 	if !(overLimit > 0) || overLimit > 100 {
 		return
 	}
@@ -733,6 +742,15 @@
 	y := math.Log(overLimit)
 	c.add(y, gapSlow)
 	stretch := r.pace[r.kind(a.e)].at(&a.x)
+	if tokens > toldLeast && !a.q.Again { // the rest of a broken answer is told as a whole one
+		gap := decode / tokens / r.gap
+		d := min(1.5, max(-1.5, math.Log(gap/stretch)))
+		a.e.drag.add(d, gapEngine)
+		r.gapUsual.add(d, gapSlow)
+		r.gapNow.add(d, gapFast)
+		r.train(r.pace, a, gap)
+		return
+	}
 	d := y - c.mean - math.Log(stretch)
 	r.gapUsual.add(d, gapSlow)
 	r.gapNow.add(d, gapFast)
@@ -774,7 +792,7 @@
 	took := seconds(ev.Elapsed)
 	if a.first != 0 {
 		decode := took - seconds(a.first-a.sent)
-		r.observePace(a, max(0, decode)/a.q.MaxTokens)
+		r.observePace(a, max(0, decode), ev.Tokens)
 		r.decode.add(max(0, decode), gapSlow)
 		r.crowdUsual.add(r.crowd(), gapSlow)
 	} else if !r.class(a.q).Streamed {
--- a/rules_test.go
+++ b/rules_test.go
@@ -331,6 +331,35 @@
 	}
 }
 
+// Where servers tell how long answers were, the pace of each is learned from its own, long answers or short.
+func TestToldTokensShowThePace(t *testing.T) {
+	set := base()
+	set.SecondCopies, set.Balancers = false, 1
+	r := New(set, 1)
+	feed(r, second, ready("fast", "slow"))
+	now, id := second, int64(0)
+	for range 12 {
+		for name, gap := range map[string]int64{"fast": 10 * ms, "slow": 45 * ms} {
+			id++
+			now += 5 * second
+			q := &request{Request: *ask(id, now+9*second)}
+			r.now, r.open[id] = now, q
+			r.send(q, &option{e: r.engines[name], x: vec{1}})
+			feed(r, now+100*ms, &FirstToken{Request: id, Elapsed: 100 * ms})
+			tokens := 20 + id%3*40
+			feed(r, now+4*second, &Outcome{Request: id, Last: true, Engine: name, Tokens: float64(tokens),
+				Elapsed: 100*ms + tokens*gap})
+		}
+	}
+	q := &request{Request: *ask(999, now+9*second)}
+	for name, gap := range map[string]float64{"fast": 0.010, "slow": 0.045} {
+		o := option{e: r.engines[name]}
+		if r.predict(q, &o); o.pace < gap*0.6 || o.pace > gap*1.7 {
+			t.Errorf("%s: %.3f s between tokens predicted, are %.3f", name, o.pace, gap)
+		}
+	}
+}
+
 // One lost connection is not the engine's end, but errors in a row have it left out until a trial.
 func TestErrorsInARow(t *testing.T) {
 	set := base()
--- a/state.go
+++ b/state.go
@@ -24,6 +24,7 @@
 	heard      int64      // last sign of life
 	suspect    bool
 	down       bool    // found down, not only slow
+	drag       mean    // log of told over predicted token gap
 	sour       float64 // share of errors and turn-downs among its latest answers
 	trialAt    int64
 	coldTokens float64 // requests the cold budget allows now
