--- a/router.go
+++ b/router.go
@@ -612,13 +612,13 @@
 			o.head = ttftWeight * (left - o.wide) / aim
 			room := (left - o.wide) / aim
 			if c.TPOTAim > 0 {
-				pace := 1 - o.pace/seconds(c.TPOTAim)
+				pace := 1 - o.slow/seconds(c.TPOTAim)
 				o.head += (1 - ttftWeight) * pace
 				room = min(room, pace)
 			}
 			o.ok = room > reserve
 		} else {
-			o.head = -ttftWeight*o.wide - (1-ttftWeight)*o.pace*q.MaxTokens
+			o.head = -ttftWeight*o.wide - (1-ttftWeight)*o.slow*q.MaxTokens
 		}
 	}
 	return all
@@ -713,6 +713,10 @@
 	}
 	o.pace = r.pace[k].at(&o.x) * r.gap * math.Exp(sway)
 	o.wide = o.ttft * (1 + r.ttft[k].err)
+	o.slow = o.pace
+	if r.told || r.decode.n < streamLeast { // else the error is that of the unknown lengths
+		o.slow *= 1 + r.pace[k].err
+	}
 }
 
 func (r *Router) features(q *request, e *engine, match float64) vec {
@@ -743,6 +747,7 @@
 	c.add(y, gapSlow)
 	stretch := r.pace[r.kind(a.e)].at(&a.x)
 	if tokens > toldLeast && !a.q.Again { // the rest of a broken answer is told as a whole one
+		r.told = true
 		gap := decode / tokens / r.gap
 		d := min(1.5, max(-1.5, math.Log(gap/stretch)))
 		a.e.drag.add(d, gapEngine)
--- a/state.go
+++ b/state.go
@@ -93,6 +93,7 @@
 	crowdUsual mean
 	decode     mean // seconds from first token to last
 	gapNow     mean
+	told       bool      // answers' lengths are told
 	gap        float64   // token gap at a load factor of 1, seconds: the pace of answers that run to their limit
 	lately     []float64 // densities of the latest requests
 	latelyAt   int
@@ -108,6 +109,7 @@
 	rank       float64
 	ttft, wide float64 // predicted seconds to the first token; and widened by the measured error
 	pace       float64
+	slow       float64 // that widened likewise
 	head       float64
 	ok         bool // headroom is positive
 }
