A server that answers before a request's last byte is heard; late bodies get 408

Seen while reading link.Write again: a request over 4 KB is written in pieces, and an answer that comes between two of them made the next piece look like a new request on a link with bytes to read; the request then counted as never sent and the server as down. Now httptrace.GotConn marks where a request begins. At the edge a body that does not come in time is answered 408 instead of a bare close. Test: a server that answers 500 at the first byte of a 200 KB request; it failed before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -149,7 +150,7 @@
 	if !errors.As(err, &bad) {
 		panic(http.ErrAbortHandler) // the client broke off its own request
 	}
-	if bad.status == http.StatusLengthRequired {
+	if bad.status == http.StatusLengthRequired || bad.status == http.StatusRequestTimeout {
 		w.Header().Set("Connection", "close") // where its body ends is not to be trusted
 	}
 	f.Log.Info("malformed request", zap.String("fault", bad.text))
@@ -183,6 +184,9 @@
 		return nil, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &fault{http.StatusRequestTimeout, "body: did not come in time"}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -46,6 +46,7 @@
 	most time.Duration // that it may rest
 
 	mu       sync.Mutex
+	starts   bool          // the next write begins a request
 	heard    time.Time     // when bytes came last
 	rest     time.Duration // how long it had rested when the request began
 	answered bool          // bytes have come since the last write
@@ -88,16 +89,25 @@
 	return n, err
 }
 
+// begin tells that the next write is a request's first. A server may answer before the last.
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starts = true
+}
+
 // Write begins a request only where nothing waits to be read, not even the connection's end. One that is not
 // begun never ran, and goes out on another connection.
 func (l *link) Write(b []byte) (int, error) {
 	l.mu.Lock()
-	if l.answered {
-		l.rest = time.Since(l.heard)
-		l.spent = l.spent || l.rest > l.keep.now(l.most) || l.stirring()
+	if l.starts || l.ended {
+		if l.answered {
+			l.rest = time.Since(l.heard)
+			l.spent = l.spent || l.rest > l.keep.now(l.most) || l.stirring()
+		}
+		l.starts, l.answered, l.matched, l.ended = false, false, 0, false
+		l.unsent = l.spent
 	}
-	l.answered, l.matched, l.ended = false, 0, false
-	l.unsent = l.spent
 	spent := l.spent
 	l.mu.Unlock()
 	if spent {
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -236,8 +236,10 @@
 	ctx := httptrace.WithClientTrace(a.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			kept = info.Reused
-			l, _ := info.Conn.(*link)
-			used.Store(l)
+			if l, ok := info.Conn.(*link); ok {
+				l.begin()
+				used.Store(l)
+			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) }})
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/realserver/story_test.go
+++ b/internal/realserver/story_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"standpoint/internal/testpeer"
 )
@@ -132,3 +134,30 @@
 	}
 	require.LessOrEqual(t, len(lost), 4, lost)
 }
+
+// A server that answers before the request's last byte is heard, and not taken for one that cannot be reached.
+func TestAnswerBeforeTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1))
+			_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+		}
+	}()
+	log, logs := observer.New(zap.InfoLevel)
+	n := testpeer.StartLogged(t, zap.New(log), testpeer.Settings(), testpeer.Entry("s", listener.Addr().String()))
+	body := `{"messages":["` + strings.Repeat("x", 200<<10) + `"]}`
+	status, _, _, _ := n.Do(n.Chat(t.Context(), func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		r.Header.Set("X-Expires-In", "300m")
+	}))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "answered 500 No", logs.FilterMessage("attempt failed").All()[0].ContextMap()["error"])
+}
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -56,7 +56,11 @@
 
 // Start wires a node to the given real servers.
 func Start(t testing.TB, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
-	log := zap.NewNop()
+	return StartLogged(t, zap.NewNop(), settings, entries...)
+}
+
+// StartLogged is Start with a log to look into.
+func StartLogged(t testing.TB, log *zap.Logger, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
 	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Log: log,
 		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
