Streams that the kill would cut are handed back 2.2 s after SIGTERM

Now Core.HandBack breaks off begun streams without the last chunk, only where clients ask for the rest, and 0.4 s before the kill turns down what waits.

--- a/cmd/standpoint/main.go
+++ b/cmd/standpoint/main.go
@@ -26,10 +26,12 @@
 )
 
 const (
-	lateClients  = 600 * time.Millisecond // after SIGTERM clients still come for up to 0.4 s
-	shutdownTime = time.Minute            // in which what was taken must be answered
-	logsFirst    = 20                     // lines of one message in a second, and every
-	logsThen     = 200                    // so many further ones
+	lateClients  = 600 * time.Millisecond  // after SIGTERM clients still come for up to 0.4 s
+	shutdownTime = time.Minute             // in which what was taken must be answered
+	handBackTime = 2200 * time.Millisecond // after SIGTERM, where the platform kills what it has told to stop
+	killMargin   = 400 * time.Millisecond  // before that, when nothing may be left
+	logsFirst    = 20                      // lines of one message in a second, and every
+	logsThen     = 200                     // so many further ones
 )
 
 func main() {
@@ -53,6 +55,7 @@
 	core         *node.Core
 	handler      func(*node.Life) http.Handler
 	actors       []func(context.Context) // run until the program stops
+	killed       time.Duration           // after SIGTERM, at the earliest; 0: never
 	reread       func() (config.Limits, error)
 	close        func() error
 }
@@ -105,7 +108,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-stop.Done():
 	}
-	return drain(life, server, p.core, log)
+	return drain(life, server, p, log)
 }
 
 // confine keeps the process within its limits. The heap stays well under that of memory; stacks, buffers of the
@@ -115,18 +118,23 @@
 	runtime.GOMAXPROCS(max(1, int(l.Cores+0.5)))
 }
 
-// drain goes on accepting while clients still come, then answers all that was taken.
-func drain(life *node.Life, server *http.Server, core *node.Core, log *zap.Logger) error {
+// drain goes on accepting while clients still come, then answers all that was taken. What cannot be whole before
+// the program is killed is given back while the client can still ask elsewhere.
+func drain(life *node.Life, server *http.Server, p *program, log *zap.Logger) error {
 	if err := life.Move(node.Draining); err != nil {
 		return err
 	}
-	log.Info("draining", zap.Int("open", core.Open()))
+	log.Info("draining", zap.Int("open", p.core.Open()))
+	if p.killed > 0 {
+		defer time.AfterFunc(min(handBackTime, p.killed-killMargin), func() { p.core.HandBack(false) }).Stop()
+		defer time.AfterFunc(p.killed-killMargin, func() { p.core.HandBack(true) }).Stop()
+	}
 	time.Sleep(lateClients)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = fmt.Errorf("draining: %d flows were left: %w", core.Open(), err)
+		err = fmt.Errorf("draining: %d flows were left: %w", p.core.Open(), err)
 	}
 	if moved := life.Move(node.Stopped); moved != nil {
 		return moved
--- a/cmd/standpoint/wiring.go
+++ b/cmd/standpoint/wiring.go
@@ -41,7 +41,7 @@
 	}
 	fleet := realserver.New(realserver.Options{DialTimeout: cfg.Names.DialTimeout, ConnIdle: cfg.Names.ConnIdle,
 		MaxIdle: cfg.Limits.IdleLinks(), Log: log})
-	p := &program{name: cfg.Name, listen: cfg.Listen, limits: cfg.Limits}
+	p := &program{name: cfg.Name, listen: cfg.Listen, limits: cfg.Limits, killed: cfg.Killed()}
 	keys := store.NewMemory()
 	keeper := entries.NewKeeper(keys, log)
 	news := func(l node.List) {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -18,6 +18,8 @@
 const (
 	defaultConnIdle = 15 * time.Second
 	defaultDial     = 100 * time.Millisecond
+	killLongest     = 3 * time.Second // of the longest deadline, what counts for the kill after SIGTERM
+	killGrace       = 700 * time.Millisecond
 	maxMemoryMB     = 192  // the most that a scored day grants
 	maxSockets      = 1024 // likewise
 )
@@ -65,6 +67,15 @@
 	return decodePlatform(raw, getenv)
 }
 
+// Killed is when the platform kills a program at the earliest, after it told it to stop.
+func (p Platform) Killed() time.Duration {
+	var longest time.Duration
+	for _, c := range p.Settings.Classes {
+		longest = max(longest, time.Duration(c.Deadline))
+	}
+	return min(longest, killLongest) + killGrace
+}
+
 // Reread reads the file again for a program that runs. What the variables said at its start is as old as the
 // program: for all that may change since, the file alone holds.
 func (p Platform) Reread(getenv func(string) string) (Platform, error) {
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -287,3 +287,43 @@
 	}
 	t.Cleanup(func() { require.Zero(t, sent.Load()) })
 }
+
+// Before a node is killed, begun streams are handed back without the last chunk, so that their clients go on
+// elsewhere, and what still waits is turned down; where clients do not ask for the rest, streams run on.
+func TestHandBack(t *testing.T) {
+	for _, resume := range []bool{true, false} {
+		settings := testpeer.Settings()
+		settings.Resume = resume
+		release, came := make(chan struct{}), make(chan struct{}, 2)
+		n := testpeer.Start(t, settings, testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			came <- struct{}{}
+			if r.Header.Get("X-Trace-Id") == "waits" {
+				<-r.Context().Done()
+				return
+			}
+			testpeer.Event(w, "begun")
+			select {
+			case <-release:
+				testpeer.Finish(w)
+			case <-r.Context().Done():
+			}
+		})))
+		begun, err := http.DefaultClient.Do(n.Chat(t.Context(), nil))
+		require.NoError(t, err)
+		defer begun.Body.Close()
+		go func() { <-came; <-came; n.Core.HandBack(true) }()
+		status, header, _, _ := n.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Trace-Id", "waits") }))
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.NotEmpty(t, header.Get("Retry-After"))
+		if !resume {
+			close(release)
+		}
+		body, err := io.ReadAll(begun.Body)
+		if resume {
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		} else {
+			require.Contains(t, string(body), "[DONE]")
+		}
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -44,6 +44,9 @@
 // ever hands on without waiting, so it always comes back to empty it.
 const mailboxSize = 1024
 
+// handBackWait is when a client should come again whose flow was handed back; by then it finds another node.
+const handBackWait = 300 * time.Millisecond
+
 // Options are a core's settings and neighbours.
 type Options struct {
 	Settings standpoint.Settings
@@ -73,6 +76,7 @@
 // Messages of the mailbox.
 type (
 	adjusted   struct{ settings standpoint.Settings }
+	handBack   struct{ all bool }
 	taken      struct{ f *Flow }
 	left       struct{ f *Flow }
 	firstEvent struct {
@@ -118,6 +122,11 @@
 	c.post(adjusted{settings})
 }
 
+// HandBack gives up what this node cannot bring to an end: begun streams, whose clients ask another node for the
+// rest, and, with all, flows that still wait, which are turned down. Where clients do not ask for the rest, streams
+// run on.
+func (c *Core) HandBack(all bool) { c.post(handBack{all}) }
+
 // Stopped is closed when the core has stopped.
 func (c *Core) Stopped() <-chan struct{} { return c.stopped }
 
@@ -180,6 +189,16 @@
 	case adjusted:
 		c.Settings = m.settings
 		c.router.Adjust(m.settings)
+	case handBack:
+		for _, f := range c.flows {
+			if c.Settings.Resume {
+				f.breakOff(ErrHandedBack)
+			}
+			if m.all && f.settle(Answer{Kind: TurnedDown, Wait: handBackWait}) {
+				c.decide(&standpoint.Left{Request: f.Request.ID})
+				c.forget(f)
+			}
+		}
 	case taken:
 		c.nextID++
 		m.f.Request.ID = c.nextID
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -39,11 +39,12 @@
 	Wait time.Duration
 }
 
-// Reasons for which an attempt is given up before its first event.
+// Reasons for which an attempt is given up; the last two may come after its first event.
 var (
 	ErrNoAnswer   = errors.New("no answer in time")
 	ErrCalledOff  = errors.New("called off")
 	ErrClientGone = errors.New("the client has gone")
+	ErrHandedBack = errors.New("handed back to the client, to go on elsewhere")
 )
 
 // Flow is one request taken on, which is owed one final answer.
@@ -94,13 +95,18 @@
 	if f.settle(Answer{Kind: ClientGone}) {
 		return true
 	}
+	f.breakOff(ErrClientGone)
+	return false
+}
+
+// breakOff stops the attempt that has claimed the flow, if one has.
+func (f *Flow) breakOff(why error) {
 	f.mu.Lock()
 	a := f.claimed
 	f.mu.Unlock()
 	if a != nil {
-		a.stop(ErrClientGone)
+		a.stop(why)
 	}
-	return false
 }
 
 // Attempt is one try of a flow at a real server. A real server's actor calls Context, First, Event and End.
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -294,7 +294,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, node.ErrNoAnswer):
 		return standpoint.NoAnswer
-	case errors.Is(cause, node.ErrCalledOff), errors.Is(cause, node.ErrClientGone):
+	case errors.Is(cause, node.ErrCalledOff), errors.Is(cause, node.ErrClientGone),
+		errors.Is(cause, node.ErrHandedBack):
 		return standpoint.Cancelled
 	case !wrote:
 		return standpoint.NoConnection
