Control interface: a listener of its own with tokens, typed errors and bounded calls

Commands need a way to speak to a daemon that runs. Loopback TCP or a unix socket; what changes something needs the token of a file that others cannot read, or the socket's owner. Bodies hold 1 MiB, 64 calls are answered at once. Tests go over real sockets: wrong, short, long and changed tokens, unsafe files, stale and used sockets, a leader elsewhere, too many calls.

--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,276 @@
+// Package control is the daemon's control interface: a listener of its own, on loopback TCP or a unix socket, on which
+// the commands speak to a daemon that runs. Its wire is JSON over HTTP/1.1; its errors are typed.
+package control
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	bodyMost   = 1 << 20
+	tokenLeast = 16 // characters
+	tokenMost  = 1024
+	callsMost  = 64 // at once
+	headTime   = 2 * time.Second
+	callTime   = 30 * time.Second
+	headMost   = 8 << 10
+)
+
+// Error is an answer that says what is wrong. Code is for programs, Message for people; Key names what was faulty.
+type Error struct {
+	Status  int    `json:"-"`
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Key     string `json:"key,omitempty"`
+	// Leader is where to ask instead, with not_leader.
+	Leader string `json:"leader,omitempty"`
+}
+
+func (e *Error) Error() string {
+	if e.Key != "" {
+		return e.Key + ": " + e.Message
+	}
+	return e.Message
+}
+
+// Call is one thing that the daemon can be asked. Do gets the request with its body read; what it returns is the JSON
+// of the answer. An error that is no *Error becomes "internal".
+type Call struct {
+	Pattern string // of http.ServeMux, such as "POST /v1/move/{wish}"
+	Changes bool   // needs the token, or the socket's owner
+	Do      func(r *http.Request, body []byte) (any, error)
+}
+
+// Server is the listener. Its owner runs Serve.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	log      *zap.Logger
+	file     string
+	token    atomic.Pointer[[sha256.Size]byte]
+	busy     chan struct{}
+	path     string // of a unix socket
+}
+
+type ownerKey struct{}
+
+// Listen opens the listener at a host:port of loopback, or at unix:PATH. tokenFile may be "" for a unix socket; then
+// only the owner may change anything.
+func Listen(address, tokenFile string, calls []Call, log *zap.Logger) (*Server, error) {
+	s := &Server{log: log, file: tokenFile, busy: make(chan struct{}, callsMost)}
+	if err := s.Reload(); err != nil {
+		return nil, err
+	}
+	var err error
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		s.path = path
+		s.listener, err = listenUnix(path)
+	} else {
+		s.listener, err = net.Listen("tcp", address)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("control.listen: %w", err)
+	}
+	mux := http.NewServeMux()
+	for _, c := range calls {
+		mux.HandleFunc(c.Pattern, s.handler(c))
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		answerError(w, &Error{Status: http.StatusNotFound, Code: "not_found", Message: r.Method + " " + r.URL.Path + " is no call of this daemon"})
+	})
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTime, ReadTimeout: callTime, IdleTimeout: time.Minute,
+		MaxHeaderBytes: headMost, ErrorLog: zap.NewStdLog(log), ConnContext: withOwner}
+	return s, nil
+}
+
+// listenUnix makes the socket, for its owner alone. One that a dead daemon left is taken away; one that somebody
+// listens on is not.
+func listenUnix(path string) (net.Listener, error) {
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&fs.ModeSocket == 0 {
+			return nil, fmt.Errorf("%s is there and is no socket", path)
+		}
+		if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+			c.Close()
+			return nil, fmt.Errorf("%s: another program listens there", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, err
+		}
+	}
+	old := syscall.Umask(0o177)
+	defer syscall.Umask(old)
+	return net.Listen("unix", path)
+}
+
+// withOwner notes whether the other end of a unix socket is this program's own user, or root.
+func withOwner(ctx context.Context, c net.Conn) context.Context {
+	u, ok := c.(*net.UnixConn)
+	if !ok {
+		return ctx
+	}
+	raw, err := u.SyscallConn()
+	if err != nil {
+		return ctx
+	}
+	owner := false
+	_ = raw.Control(func(fd uintptr) {
+		cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+		owner = err == nil && (cred.Uid == uint32(os.Geteuid()) || cred.Uid == 0)
+	})
+	return context.WithValue(ctx, ownerKey{}, owner)
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string {
+	if s.path != "" {
+		return "unix:" + s.path
+	}
+	return s.listener.Addr().String()
+}
+
+// Serve answers calls until Close.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close ends all calls.
+func (s *Server) Close() error { return s.http.Close() }
+
+// Reload reads the token again. On an error the old one stays.
+func (s *Server) Reload() error {
+	if s.file == "" {
+		return nil
+	}
+	token, err := ReadToken(s.file)
+	if err != nil {
+		return fmt.Errorf("control.token_file: %w", err)
+	}
+	sum := sha256.Sum256([]byte(token))
+	s.token.Store(&sum)
+	return nil
+}
+
+// ReadToken reads a token from a file that only its owner may read.
+func ReadToken(path string) (string, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return "", err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return "", fmt.Errorf("%s: others may read it (mode %04o); chmod 600 it", path, info.Mode().Perm())
+	}
+	raw, err := io.ReadAll(io.LimitReader(f, tokenMost+1))
+	if err != nil {
+		return "", err
+	}
+	token := strings.TrimSpace(string(raw))
+	if len(token) < tokenLeast || len(token) > tokenMost {
+		return "", fmt.Errorf("%s: a token has %d to %d characters, this one %d", path, tokenLeast, tokenMost, len(token))
+	}
+	return token, nil
+}
+
+func (s *Server) allowed(r *http.Request) bool {
+	if owner, _ := r.Context().Value(ownerKey{}).(bool); owner {
+		return true
+	}
+	want := s.token.Load()
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if want == nil || !ok {
+		return false
+	}
+	sum := sha256.Sum256([]byte(given)) // equal lengths, so that the comparison tells nothing by its time
+	return subtle.ConstantTimeCompare(sum[:], want[:]) == 1
+}
+
+func (s *Server) handler(c Call) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.busy <- struct{}{}:
+			defer func() { <-s.busy }()
+		default:
+			w.Header().Set("Retry-After", "1")
+			answerError(w, &Error{Status: http.StatusServiceUnavailable, Code: "busy", Message: "too many calls at once"})
+			return
+		}
+		if c.Changes && !s.allowed(r) {
+			s.log.Warn("a call without the right was refused", zap.String("path", r.URL.Path))
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			answerError(w, &Error{Status: http.StatusUnauthorized, Code: "unauthorized",
+				Message: "this call needs the token of control.token_file, or the socket's owner"})
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+		if err != nil {
+			answerError(w, &Error{Status: http.StatusRequestEntityTooLarge, Code: "too_large",
+				Message: fmt.Sprintf("a body has %d bytes at most, and comes within %v", bodyMost, callTime)})
+			return
+		}
+		v, err := c.Do(r, body)
+		if err != nil {
+			answerError(w, err)
+			return
+		}
+		answer(w, http.StatusOK, v)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		status, raw = http.StatusInternalServerError, []byte(`{"error":{"code":"internal","message":"the answer has no JSON"}}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n'))
+}
+
+func answerError(w http.ResponseWriter, err error) {
+	var typed *Error
+	if !errors.As(err, &typed) {
+		typed = &Error{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error()}
+	}
+	if typed.Status == 0 {
+		typed.Status = http.StatusBadRequest
+	}
+	answer(w, typed.Status, struct {
+		Error *Error `json:"error"`
+	}{typed})
+}
+
+// Decode reads a call's body, in which every key must be known.
+func Decode(body []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return &Error{Status: http.StatusBadRequest, Code: "bad_request", Message: "the body: " + err.Error()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+const secret = "0123456789abcdef0123"
+
+func calls(changed *int) []Call {
+	return []Call{
+		{Pattern: "GET /v1/thing", Do: func(*http.Request, []byte) (any, error) { return map[string]int{"changed": *changed}, nil }},
+		{Pattern: "POST /v1/thing", Changes: true, Do: func(_ *http.Request, body []byte) (any, error) {
+			var in struct {
+				By int `json:"by"`
+			}
+			if err := Decode(body, &in); err != nil {
+				return nil, err
+			}
+			if in.By < 0 {
+				return nil, &Error{Status: http.StatusConflict, Code: "backwards", Message: "is negative", Key: "by"}
+			}
+			*changed += in.By
+			return *changed, nil
+		}},
+	}
+}
+
+func start(t *testing.T, address, file string, changed *int) *Server {
+	s, err := Listen(address, file, calls(changed), zap.NewNop())
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	t.Cleanup(func() {
+		require.NoError(t, s.Close())
+		require.NoError(t, <-served)
+	})
+	return s
+}
+
+func TestChangesNeedTheToken(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte(secret+"\n"), 0o600))
+	changed := 0
+	s := start(t, "127.0.0.1:0", file, &changed)
+	for token, want := range map[string]string{"": "unauthorized", secret[1:]: "unauthorized", secret + "0": "unauthorized", secret: ""} {
+		c := NewClient(s.Address(), token)
+		defer c.Close()
+		err := c.Call(t.Context(), "POST", "/v1/thing", map[string]int{"by": 1}, nil)
+		var typed *Error
+		if want != "" {
+			require.ErrorAs(t, err, &typed)
+			require.Equal(t, want, typed.Code)
+		} else {
+			require.NoError(t, err)
+		}
+		require.NoError(t, c.Call(t.Context(), "GET", "/v1/thing", nil, nil), "reading needs no token")
+	}
+	require.Equal(t, 1, changed)
+	c := NewClient(s.Address(), secret)
+	defer c.Close()
+	for body, code := range map[any]string{struct{ By int }{-1}: "backwards", struct{ To int }{1}: "bad_request",
+		strings.Repeat("x", bodyMost): "too_large"} {
+		var typed *Error
+		require.ErrorAs(t, c.Call(t.Context(), "POST", "/v1/thing", body, nil), &typed)
+		require.Equal(t, code, typed.Code)
+	}
+	var typed *Error
+	require.ErrorAs(t, c.Call(t.Context(), "GET", "/v1/nothing", nil, nil), &typed)
+	require.Equal(t, "not_found", typed.Code)
+
+	// A token that changes is taken on; a file that others may read is not, and the old token stays.
+	require.NoError(t, os.WriteFile(file, []byte(secret+"new"), 0o600))
+	require.NoError(t, s.Reload())
+	require.Error(t, c.Call(t.Context(), "POST", "/v1/thing", struct{ By int }{1}, nil))
+	require.NoError(t, os.Chmod(file, 0o640))
+	require.ErrorContains(t, s.Reload(), "others may read it")
+	fresh := NewClient(s.Address(), secret+"new")
+	defer fresh.Close()
+	require.NoError(t, fresh.Call(t.Context(), "POST", "/v1/thing", struct{ By int }{1}, nil))
+}
+
+func TestTokenFilesThatCannotBeTrusted(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		mode os.FileMode
+		says string
+	}{"group": {secret, 0o640, "others may read it"}, "world": {secret, 0o604, "others may read it"}, "short": {"secret", 0o600, "16 to 1024"},
+		"missing": {"", 0, "no such file"}} {
+		file := filepath.Join(t.TempDir(), name)
+		if c.mode != 0 {
+			require.NoError(t, os.WriteFile(file, []byte(c.text), 0o600))
+			require.NoError(t, os.Chmod(file, c.mode))
+		}
+		_, err := Listen("127.0.0.1:0", file, nil, zap.NewNop())
+		require.ErrorContains(t, err, "control.token_file:")
+		require.ErrorContains(t, err, c.says)
+	}
+}
+
+// The socket's owner needs no token. A socket that a dead daemon left is replaced, one in use is not.
+func TestUnixSocket(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "control.sock")
+	left, err := net.ListenUnix("unix", &net.UnixAddr{Name: path})
+	require.NoError(t, err)
+	left.SetUnlinkOnClose(false)
+	require.NoError(t, left.Close())
+	changed := 0
+	s := start(t, "unix:"+path, "", &changed)
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Zero(t, info.Mode().Perm()&0o077)
+	c := NewClient(s.Address(), "")
+	defer c.Close()
+	require.NoError(t, c.Call(t.Context(), "POST", "/v1/thing", struct{ By int }{1}, nil))
+	require.Equal(t, 1, changed)
+	_, err = Listen("unix:"+path, "", nil, zap.NewNop())
+	require.ErrorContains(t, err, "another program listens there")
+	file := filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+	_, err = Listen("unix:"+file, "", nil, zap.NewNop())
+	require.ErrorContains(t, err, "is no socket")
+}
+
+// A daemon that does not lead says who does, and the client asks there.
+func TestClientFollowsTheLeader(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte(secret), 0o600))
+	changed := 0
+	leader := start(t, "127.0.0.1:0", file, &changed)
+	follower, err := Listen("127.0.0.1:0", file, []Call{{Pattern: "POST /v1/thing", Changes: true, Do: func(*http.Request, []byte) (any, error) {
+		return nil, &Error{Status: http.StatusMisdirectedRequest, Code: "not_leader", Message: "another leads", Leader: leader.Address()}
+	}}}, zap.NewNop())
+	require.NoError(t, err)
+	go func() { _ = follower.Serve() }()
+	t.Cleanup(func() { follower.Close() })
+	c := NewClient(follower.Address(), secret)
+	defer c.Close()
+	require.NoError(t, c.Call(t.Context(), "POST", "/v1/thing", struct{ By int }{5}, nil))
+	require.Equal(t, 5, changed)
+}
+
+func TestTooManyCallsAtOnce(t *testing.T) {
+	held, release := make(chan struct{}), make(chan struct{})
+	s, err := Listen("127.0.0.1:0", "", []Call{{Pattern: "GET /v1/slow", Do: func(*http.Request, []byte) (any, error) {
+		held <- struct{}{}
+		<-release
+		return nil, nil
+	}}}, zap.NewNop())
+	require.NoError(t, err)
+	go func() { _ = s.Serve() }()
+	t.Cleanup(func() { s.Close() })
+	c := NewClient(s.Address(), "")
+	defer c.Close()
+	ended := make(chan error, callsMost)
+	for range callsMost {
+		go func() { ended <- c.Call(t.Context(), "GET", "/v1/slow", nil, nil) }()
+	}
+	for range callsMost {
+		select {
+		case <-held:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the calls did not come")
+		}
+	}
+	var typed *Error
+	require.True(t, errors.As(c.Call(t.Context(), "GET", "/v1/slow", nil, nil), &typed))
+	require.Equal(t, "busy", typed.Code)
+	close(release)
+	for range callsMost {
+		require.NoError(t, <-ended)
+	}
+}
