The daemon is put together from a table of parts; sub-commands; pools and moves wired in

Two long functions knew every subsystem. Each is now one part with start, actor, check, reload and stop, and a new one is a line in a table.

--- a/api.go
+++ b/api.go
@@ -103,6 +103,7 @@
 	State   State
 	Size    float64 // registered size, no unit
 	ReadyAt int64   // last start; 0: long ago
+	Pool    int     // 0: none
 }
 
 // Report is an engine's load report.
@@ -143,6 +144,7 @@
 	MaxTokens    float64
 	Retry        bool
 	Again        bool
+	Pool         int // where it belongs; 0: anywhere
 }
 
 // Code is how an attempt ended.
--- /dev/null
+++ b/internal/cli/live.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	tea "charm.land/bubbletea/v2"
+	"charm.land/lipgloss/v2"
+	"golang.org/x/term"
+
+	"standpoint/internal/mover"
+	"standpoint/internal/moves"
+)
+
+func isTerminal(f *os.File) bool { return term.IsTerminal(int(f.Fd())) }
+
+const (
+	barWidth  = 40
+	trailMost = 240 // states kept for the trail of shares
+)
+
+// live is the view of a move on a terminal.
+type live struct {
+	ask    func(method, path string, in, out any) error
+	status moves.Status
+	trail  []float64
+	note   string
+	err    error
+}
+
+type (
+	arrived moves.Status
+	refused struct{ err error }
+	wished  struct{ text string }
+)
+
+func (o *options) watchLive(ctx context.Context, out *os.File) error {
+	c, err := o.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	m := live{ask: func(method, path string, in, out any) error { return coded(c.Call(ctx, method, path, in, out)) }}
+	end, err := tea.NewProgram(m, tea.WithContext(ctx), tea.WithOutput(out)).Run()
+	if err != nil {
+		return err
+	}
+	m = end.(live)
+	switch {
+	case m.err != nil:
+		return m.err
+	case m.status.Move != nil && m.status.Move.State.Over():
+		return ending(m.status.Move)
+	}
+	return nil
+}
+
+// Init implements tea.Model.
+func (m live) Init() tea.Cmd { return m.next("/v1/move") }
+
+func (m live) next(path string) tea.Cmd {
+	return func() tea.Msg {
+		var s moves.Status
+		if err := m.ask(http.MethodGet, path, nil, &s); err != nil {
+			return refused{err}
+		}
+		return arrived(s)
+	}
+}
+
+func (m live) wish(name string) tea.Cmd {
+	return func() tea.Msg {
+		if err := m.ask(http.MethodPost, "/v1/move/"+name, struct{}{}, nil); err != nil {
+			return wished{name + ": " + err.Error()}
+		}
+		return wished{name + ": done"}
+	}
+}
+
+// Update implements tea.Model.
+func (m live) Update(msg tea.Msg) (tea.Model, tea.Cmd) {
+	switch msg := msg.(type) {
+	case arrived:
+		m.status = moves.Status(msg)
+		if m.status.Move == nil {
+			m.err = exit{Failed, fmt.Errorf("no move was ever started")}
+			return m, tea.Quit
+		}
+		m.trail = append(m.trail, m.status.Move.Shares.Share)
+		if n := len(m.trail) - trailMost; n > 0 {
+			m.trail = m.trail[n:]
+		}
+		if m.status.Move.State.Over() {
+			return m, tea.Quit
+		}
+		return m, m.next("/v1/move?wait=1s")
+	case refused:
+		m.err = msg.err
+		return m, tea.Quit
+	case wished:
+		m.note = msg.text
+	case tea.KeyPressMsg:
+		switch msg.String() {
+		case "q", "ctrl+c", "esc":
+			return m, tea.Quit
+		case "p":
+			return m, m.wish("pause")
+		case "r":
+			return m, m.wish("resume")
+		case "u":
+			return m, m.wish("undo")
+		}
+	}
+	return m, nil
+}
+
+var (
+	bold  = lipgloss.NewStyle().Bold(true)
+	faint = lipgloss.NewStyle().Faint(true)
+	warn  = lipgloss.NewStyle().Foreground(lipgloss.Color("3"))
+)
+
+// View implements tea.Model.
+func (m live) View() tea.View {
+	var b strings.Builder
+	r := m.status.Move
+	if r == nil {
+		return tea.NewView("asking the daemon ...\n")
+	}
+	fmt.Fprintf(&b, "%s  %s to %s\n\n", bold.Render(r.ID), r.Plan.From, r.Plan.To)
+	state := string(r.State)
+	if r.Paused {
+		state += ", paused"
+	}
+	full := int(r.Shares.Share*barWidth + 0.5)
+	fmt.Fprintf(&b, "%-12s %s%s %5.1f%%\n", state, strings.Repeat("█", full), faint.Render(strings.Repeat("░", barWidth-full)), 100*r.Shares.Share)
+	level := int(min(1, m.status.Evidence)*barWidth + 0.5)
+	fmt.Fprintf(&b, "%-12s %s%s\n", "evidence", warn.Render(strings.Repeat("█", level)), faint.Render(strings.Repeat("░", barWidth-level)))
+	fmt.Fprintf(&b, "%-12s %s\n", "trail", sparks(m.trail))
+	if r.Reason != "" {
+		fmt.Fprintf(&b, "\n%s\n", r.Reason)
+	}
+	b.WriteString("\n")
+	for _, e := range r.Events[max(0, len(r.Events)-8):] {
+		style := faint
+		if e.State == mover.Halted || e.State == mover.Returning {
+			style = warn
+		}
+		b.WriteString(style.Render(fmt.Sprintf("%s  %-9s %5.1f%%  %s", e.At.Format("15:04:05"), e.State, 100*e.Share, e.Text)) + "\n")
+	}
+	for _, n := range m.status.Nodes {
+		behind := ""
+		if n.Behind {
+			behind = warn.Render("  behind")
+		}
+		fmt.Fprintf(&b, "node %s  version %d%s\n", n.Name, n.Version, behind)
+	}
+	fmt.Fprintf(&b, "\n%s\n", faint.Render("p pause   r resume   u undo   q leave")+"  "+m.note)
+	return tea.NewView(b.String())
+}
+
+// sparks draws shares as small bars.
+func sparks(values []float64) string {
+	levels := []rune(" ▁▂▃▄▅▆▇█")
+	var b strings.Builder
+	for _, v := range values[max(0, len(values)-barWidth):] {
+		b.WriteRune(levels[min(len(levels)-1, max(0, int(v*float64(len(levels)-1)+0.5)))])
+	}
+	return b.String()
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/BurntSushi/toml"
 
 	"standpoint"
+	"standpoint/internal/mover"
+	"standpoint/internal/pool"
 )
 
 // Duration is a span in an operator's file, such as "250ms".
@@ -49,6 +52,53 @@
 	Zone    string  `toml:"zone"`
 	Kind    string  `toml:"kind"`
 	Size    float64 `toml:"size"`
+	// Draining has it finish what it has and get nothing new.
+	Draining bool `toml:"draining"`
+	// Started is its last start; not said: long ago.
+	Started time.Time `toml:"started"`
+	// Labels are what pools may select by, besides the keys above.
+	Labels map[string]string `toml:"labels"`
+}
+
+// State is the real server's place in its life.
+func (r RealServer) State() standpoint.State {
+	if r.Draining {
+		return standpoint.Draining
+	}
+	return standpoint.Ready
+}
+
+// ReadyAt is its last start in the module's time; 0: long ago.
+func (r RealServer) ReadyAt() int64 {
+	if r.Started.IsZero() {
+		return 0
+	}
+	return r.Started.UnixNano()
+}
+
+// Pool is a pool of real servers in an operator's file.
+type Pool struct {
+	Name   string  `toml:"name"`
+	Select string  `toml:"select"`
+	Share  float64 `toml:"share"`
+}
+
+// Move is how traffic moves between pools unless a move's start says otherwise.
+type Move struct {
+	Steps       []float64 `toml:"steps"`
+	Trickle     float64   `toml:"trickle"`
+	Warm        Duration  `toml:"warm"`
+	Hold        Duration  `toml:"hold"`
+	Samples     int       `toml:"samples"`
+	Floor       float64   `toml:"floor"`
+	FirstToken  float64   `toml:"first_token"`
+	Pace        float64   `toml:"pace"`
+	Errors      float64   `toml:"errors"`
+	Stall       Duration  `toml:"stall"`
+	Alarm       float64   `toml:"alarm"`
+	OnWorse     string    `toml:"on_worse"`
+	ReturnSteps int       `toml:"return_steps"`
+	ReturnEvery Duration  `toml:"return_every"`
 }
 
 // BatchFields are the metadata keys, or the defaults, of what a line says about its flow.
@@ -65,6 +115,7 @@
 	ID      string `toml:"id"`
 	Address string `toml:"address"`
 	Front   string `toml:"front"`
+	Control string `toml:"control"` // its control interface; needed where pools are moved
 }
 
 // Operator is an operator's file.
@@ -88,7 +139,18 @@
 		ConnIdle    Duration `toml:"conn_idle"`
 		WarmUp      Duration `toml:"warm_up"`
 		ColdShare   float64  `toml:"cold_share"`
+		Resume      bool     `toml:"resume"` // clients of broken streams ask for the rest
 	} `toml:"module"`
+	Log struct {
+		Level string `toml:"level"` // debug, info, warn or error
+		Form  string `toml:"form"`  // json or console
+	} `toml:"log"`
+	Control struct {
+		Listen    string `toml:"listen"` // a loopback address, or unix:PATH; "" is off
+		TokenFile string `toml:"token_file"`
+	} `toml:"control"`
+	Pools   []Pool   `toml:"pool"`
+	Move    Move     `toml:"move"`
 	Classes []Class  `toml:"class"`
 	Tenants []Tenant `toml:"tenant"`
 	Entries struct {
@@ -115,16 +177,27 @@
 		Defaults    BatchFields `toml:"defaults"`
 	} `toml:"batch"`
 	Store struct {
-		Kind    string   `toml:"kind"` // memory or raft
-		ID      string   `toml:"id"`
-		Dir     string   `toml:"dir"`
-		Members []Member `toml:"member"`
+		Kind      string   `toml:"kind"` // memory or raft
+		ID        string   `toml:"id"`
+		Dir       string   `toml:"dir"`
+		Heartbeat Duration `toml:"heartbeat"` // 0: the library's own times
+		Members   []Member `toml:"member"`
 	} `toml:"store"`
 
 	// What follows is worked out from the keys above.
 	Settings standpoint.Settings `toml:"-"`
 	Names    Names               `toml:"-"`
 	Bounds   Limits              `toml:"-"`
+	PoolSet  *pool.Set           `toml:"-"`
+	Plan     mover.Plan          `toml:"-"` // without its pools
+}
+
+// Path is a file that the operator's file names, relative to the folder where that stands.
+func (o *Operator) Path(base, path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(base, path)
 }
 
 // ReadOperator reads, checks and completes an operator's file.
@@ -157,6 +230,7 @@
 		{"batch", o.Batch, next.Batch},
 		{"batch_server", o.BatchServer, next.BatchServer},
 		{"store", o.Store, next.Store},
+		{"control", o.Control, next.Control},
 		{"module.zones", o.Names.Zones, next.Names.Zones},
 		{"module.kinds", o.Names.Kinds, next.Names.Kinds},
 	} {
@@ -164,6 +238,9 @@
 			return o, fmt.Errorf("%s: cannot change while the program runs", fixed.key)
 		}
 	}
+	if (len(o.Pools) == 0) != (len(next.Pools) == 0) {
+		return o, errors.New("pool: pools cannot be brought in or done away with while the program runs")
+	}
 	if o.Batch.Enabled && !(slices.Equal(o.Names.Classes, next.Names.Classes) && slices.Equal(o.Names.Tenants, next.Names.Tenants)) {
 		return o, errors.New("class, tenant: names cannot change while batches run")
 	}
@@ -201,11 +278,15 @@
 	or(&o.Batch.Fields.Prefix, "prefix")
 	or(&o.Batch.Defaults.MaxTokens, 256)
 	or(&o.Store.Kind, "memory")
+	or(&o.Log.Level, "info")
+	or(&o.Log.Form, "json")
+	o.completeMove()
 	o.Bounds = Limits{o.Limits.Cores, o.Limits.MemoryMB, o.Limits.Sockets}
 	if err := o.Bounds.check(); err != nil {
 		return err
 	}
-	for _, check := range []func() error{o.checkAddresses, o.checkClasses, o.checkEntries, o.checkBatch, o.checkStore} {
+	for _, check := range []func() error{o.checkAddresses, o.checkClasses, o.checkEntries, o.checkBatch, o.checkStore,
+		o.checkLog, o.checkControl, o.checkPools} {
 		if err := check(); err != nil {
 			return err
 		}
@@ -348,8 +429,16 @@
 		if err := loopback(fmt.Sprintf("store.member[%d].address", i), m.Address); err != nil {
 			return err
 		}
+		if m.Control != "" {
+			if err := loopback(fmt.Sprintf("store.member[%d].control", i), m.Control); err != nil {
+				return err
+			}
+		}
 		own = own || m.ID == s.ID
 	}
+	if s.Heartbeat != 0 && s.Heartbeat < Duration(20*time.Millisecond) {
+		return fmt.Errorf("store.heartbeat: shorter than 20ms")
+	}
 	if !own {
 		return fmt.Errorf("store.id: %q is not among store.member", s.ID)
 	}
@@ -362,7 +451,7 @@
 	s := standpoint.Settings{Balancers: m.Nodes, Ordinal: m.Ordinal, Zones: max(1, len(m.Zones)),
 		Zone: max(0, slices.Index(m.Zones, m.Zone)), Kinds: len(m.Kinds), Reports: standpoint.ReportReplies,
 		RetryAfter: true, MaxRetryAfter: int64(2 * time.Second), MaxAttempts: m.MaxAttempts,
-		Tick: int64(2 * time.Millisecond), AskWithin: int64(10 * time.Second), DrainGrace: int64(500 * time.Millisecond),
+		Resume: m.Resume, Tick: int64(2 * time.Millisecond), AskWithin: int64(10 * time.Second), DrainGrace: int64(500 * time.Millisecond),
 		WarmUp: int64(m.WarmUp), Fall: int64(3 * time.Second), ColdShare: m.ColdShare, FallFactor: 4, Cancel: true}
 	o.Names = Names{Zones: m.Zones, Kinds: m.Kinds, ConnIdle: time.Duration(m.ConnIdle),
 		DialTimeout: time.Duration(m.DialTimeout)}
--- a/internal/daemon/agree.go
+++ b/internal/daemon/agree.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"bytes"
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,195 @@
+// Package daemon puts the program together from its parts, takes on new configurations, and leads it through its
+// phases from start to exit.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"standpoint/internal/config"
+	"standpoint/internal/edge"
+	"standpoint/internal/node"
+)
+
+const (
+	lateClients  = 600 * time.Millisecond  // after SIGTERM clients still come for up to 0.4 s
+	shutdownTime = time.Minute             // in which what was taken must be answered
+	handBackTime = 2200 * time.Millisecond // after SIGTERM, where the platform kills what it has told to stop
+	killMargin   = 400 * time.Millisecond  // before that, when nothing may be left
+)
+
+// Options say where the daemon's configuration is.
+type Options struct {
+	// File is an operator's file; "" stands for the platform's variables.
+	File string
+	// Log, if set, is used in place of the one that the configuration asks for.
+	Log *zap.Logger
+}
+
+// Run serves until SIGTERM or SIGINT, and returns when all that was taken is answered. SIGHUP has it read its
+// configuration again.
+func Run(o Options) error {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	hangup := make(chan os.Signal, 1) // holds one wish to read the configuration again
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	d, err := read(o.File)
+	if err != nil {
+		return err
+	}
+	a := &assembly{deployment: d, base: baseOf(o.File), log: o.Log, level: zap.NewAtomicLevel(), life: &node.Life{}}
+	if a.log == nil {
+		a.log = newLog(d.logging(), a.level)
+	}
+	table := platformParts
+	if d.operator != nil {
+		table = operatorParts
+	}
+	if err := a.assemble(table); err != nil {
+		return err
+	}
+	log := a.log.With(zap.String("node", a.name))
+	defer func() {
+		if err := a.stop(); err != nil {
+			log.Warn("closing", zap.Error(err))
+		}
+	}()
+	confine(a.limits)
+	listener, err := net.Listen("tcp", a.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	actors, end := context.WithCancel(context.Background())
+	defer end()
+	for _, p := range a.parts {
+		if p.start != nil {
+			p.start()
+		}
+	}
+	for _, p := range a.parts {
+		if p.run != nil {
+			go p.run(actors)
+		}
+	}
+	room := edge.NewRoom(listener, a.limits.EdgeConnections(), log)
+	server := edge.NewServer(a.handler(), room, log)
+	go a.rereads(actors, o.File, hangup, room, log)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(room) }()
+	if err := a.life.Move(node.Serving); err != nil {
+		return err
+	}
+	log.Info("serving", zap.String("listen", a.listen), zap.Any("limits", a.limits))
+
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-stop.Done():
+	}
+	return a.drain(server, log)
+}
+
+// read takes the deployment in, for the first time.
+func read(file string) (deployment, error) {
+	if file != "" {
+		cfg, err := config.ReadOperator(file)
+		return fromOperator(cfg), err
+	}
+	cfg, err := config.FromPlatform(os.Getenv)
+	return fromPlatform(cfg), err
+}
+
+func fromPlatform(cfg config.Platform) deployment {
+	return deployment{name: cfg.Name, listen: cfg.Listen, limits: cfg.Limits, killed: cfg.Killed(), platform: &cfg}
+}
+
+func fromOperator(cfg config.Operator) deployment {
+	return deployment{name: cfg.Name, listen: cfg.Listen, limits: cfg.Bounds, operator: &cfg}
+}
+
+// rereads is the actor of the configuration's changes.
+func (a *assembly) rereads(ctx context.Context, file string, hangup <-chan os.Signal, room *edge.Room, log *zap.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		next, err := a.reread(file)
+		if err == nil {
+			err = a.reload(next)
+		}
+		if err != nil {
+			log.Error("the configuration stays as it was", zap.Error(err))
+			continue
+		}
+		a.level.SetLevel(next.logging().level)
+		confine(next.limits)
+		room.Resize(next.limits.EdgeConnections())
+		log.Info("the configuration was read again", zap.Any("limits", next.limits))
+	}
+}
+
+// reread reads the configuration for a program that runs; what may not change is checked.
+func (a *assembly) reread(file string) (deployment, error) {
+	if a.operator != nil {
+		cfg, err := a.operator.Reread(file)
+		return fromOperator(cfg), err
+	}
+	cfg, err := a.platform.Reread(os.Getenv)
+	return fromPlatform(cfg), err
+}
+
+func confine(l config.Limits) {
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 6 / 10)
+	runtime.GOMAXPROCS(max(1, int(l.Cores+0.5)))
+}
+
+// drain leads the program to its end: it goes on accepting while clients may still come, then closes the listener
+// and waits for what it took. What the platform will cut is handed back in time.
+func (a *assembly) drain(server *http.Server, log *zap.Logger) error {
+	if err := a.life.Move(node.Draining); err != nil {
+		return err
+	}
+	log.Info("draining", zap.Int("open", a.core.Open()))
+	if a.killed > 0 {
+		defer time.AfterFunc(min(handBackTime, a.killed-killMargin), func() { a.core.HandBack(false) }).Stop()
+		defer time.AfterFunc(a.killed-killMargin, func() { a.core.HandBack(true) }).Stop()
+	}
+	time.Sleep(lateClients)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = fmt.Errorf("draining: %d flows were left: %w", a.core.Open(), err)
+	}
+	if moved := a.life.Move(node.Stopped); moved != nil {
+		return moved
+	}
+	log.Info("stopped")
+	return err
+}
+
+// together makes one actor of several.
+func together(actors ...func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		var all sync.WaitGroup
+		for _, actor := range actors {
+			all.Go(func() { actor(ctx) })
+		}
+		all.Wait()
+	}
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"fmt"
@@ -54,7 +54,7 @@
 	listen := l.Addr().String()
 	l.Close()
 	exit := make(chan error, 1)
-	go func() { exit <- run(operatorFile(t, listen, server), zap.NewNop()) }()
+	go func() { exit <- Run(Options{File: operatorFile(t, listen, server), Log: zap.NewNop()}) }()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	require.Eventually(t, func() bool {
 		response, err := client.Get("http://" + listen + "/_health")
@@ -108,7 +108,7 @@
 	path := operatorFile(t, listen, server("old"))
 	seen, logs := observer.New(zap.InfoLevel)
 	exit := make(chan error, 1)
-	go func() { exit <- run(path, zap.New(seen)) }()
+	go func() { exit <- Run(Options{File: path, Log: zap.New(seen)}) }()
 	asked := 0
 	ask := func() string {
 		asked++
--- /dev/null
+++ b/internal/daemon/part.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"standpoint/internal/config"
+	"standpoint/internal/control"
+	"standpoint/internal/edge"
+	"standpoint/internal/entries"
+	"standpoint/internal/moves"
+	"standpoint/internal/node"
+	"standpoint/internal/realserver"
+	"standpoint/internal/store"
+)
+
+// part is one subsystem in the daemon. Any of its functions may be nil.
+type part struct {
+	name string
+	// start is called once all parts are put together, before any actor runs and any client is heard.
+	start func()
+	// run is the part's actor; it ends with its context, after everything that was taken has been answered.
+	run func(context.Context)
+	// check tells whether the part can take on the next deployment. Nothing is changed before all agree.
+	check func(next deployment) error
+	// reload takes it on.
+	reload func(next deployment)
+	// stop lets go of what the part has opened. Parts stop in the opposite order of their start.
+	stop func() error
+}
+
+// deployment is what the daemon was told: by the platform's variables, or by an operator's file. Exactly one of
+// the two pointers is set.
+type deployment struct {
+	name, listen string
+	limits       config.Limits
+	killed       time.Duration // after SIGTERM, at the earliest; 0: never
+	platform     *config.Platform
+	operator     *config.Operator
+}
+
+// assembly is what the parts share while they are put together, in the order of their table.
+type assembly struct {
+	deployment
+	base     string // the folder that relative paths of the operator's file start from
+	log      *zap.Logger
+	level    zap.AtomicLevel
+	life     *node.Life
+	keys     store.Store
+	fleet    *realserver.Fleet
+	pools    node.Pools // nil: none
+	tracker  *moves.Tracker
+	mover    *moves.Actor
+	calls    []control.Call // of the control interface
+	core     *node.Core
+	source   sourceOfEntries
+	news     func(node.List)
+	keeper   *entries.Keeper
+	front    *edge.Front
+	handlers []prefixed // fronts besides the single requests'
+	parts    []part
+}
+
+type sourceOfEntries interface {
+	node.Entries
+	Run(context.Context)
+}
+
+// prefixed is a front that takes the paths that begin with one of the prefixes.
+type prefixed struct {
+	prefixes []string
+	handler  http.Handler
+}
+
+// constructor puts a part together. A part that the deployment does not want has no name.
+type constructor func(*assembly) (part, error)
+
+// platformParts is the daemon on the platform.
+var platformParts = []constructor{memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
+
+// operatorParts is the daemon as an operator's file says.
+var operatorParts = []constructor{storePart, fleetPart, poolsPart, operatorEntriesPart, corePart, edgePart, batchPart,
+	agreePart, controlPart}
+
+// assemble runs a table of constructors. On a failure what was opened is closed again.
+func (a *assembly) assemble(table []constructor) error {
+	for _, make := range table {
+		p, err := make(a)
+		if err != nil {
+			return errors.Join(err, a.stop())
+		}
+		if p.name != "" {
+			a.parts = append(a.parts, p)
+		}
+	}
+	return nil
+}
+
+// stop stops the parts, the last started first.
+func (a *assembly) stop() error {
+	var all []error
+	for i := len(a.parts) - 1; i >= 0; i-- {
+		if p := a.parts[i]; p.stop != nil {
+			if err := p.stop(); err != nil {
+				all = append(all, fmt.Errorf("%s: %w", p.name, err))
+			}
+		}
+	}
+	a.parts = nil
+	return errors.Join(all...)
+}
+
+// reload takes on the next deployment in every part, or in none.
+func (a *assembly) reload(next deployment) error {
+	for _, p := range a.parts {
+		if p.check != nil {
+			if err := p.check(next); err != nil {
+				return err
+			}
+		}
+	}
+	for _, p := range a.parts {
+		if p.reload != nil {
+			p.reload(next)
+		}
+	}
+	a.deployment = next
+	return nil
+}
+
+// keep makes the keeper, which notes every change of the service entries for the store, and has it hand them on to
+// the core.
+func (a *assembly) keep() {
+	a.keeper = entries.NewKeeper(a.keys, a.log)
+	a.news = func(l node.List) { a.keeper.Tell(l, a.core.News) }
+}
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"time"
+
+	"standpoint"
+	"standpoint/internal/batch"
+	"standpoint/internal/config"
+	"standpoint/internal/edge"
+	"standpoint/internal/entries"
+	"standpoint/internal/node"
+	"standpoint/internal/realserver"
+	"standpoint/internal/store"
+)
+
+const uploadTime = 2 * time.Minute // of a batch file
+
+func memoryPart(a *assembly) (part, error) {
+	a.keys = store.NewMemory()
+	return part{name: "store", stop: a.keys.Close}, nil
+}
+
+func storePart(a *assembly) (part, error) {
+	s := a.operator.Store
+	if s.Kind == "memory" {
+		return memoryPart(a)
+	}
+	o := store.RaftOptions{ID: s.ID, Dir: s.Dir, Heartbeat: time.Duration(s.Heartbeat)}
+	if o.Dir != "" {
+		o.Dir = a.operator.Path(a.base, o.Dir)
+	}
+	for _, m := range s.Members {
+		o.Members = append(o.Members, store.Member{ID: m.ID, Address: m.Address})
+		if m.ID == s.ID {
+			o.Listen = m.Address
+		}
+	}
+	keys, err := store.OpenRaft(o)
+	if err != nil {
+		return part{}, err
+	}
+	a.keys = keys
+	return part{name: "store", stop: keys.Close}, nil
+}
+
+// told is what both kinds of deployment say about flows.
+func (d deployment) told() (standpoint.Settings, config.Names, int64) {
+	if d.platform != nil {
+		return d.platform.Settings, d.platform.Names, d.platform.Seed
+	}
+	return d.operator.Settings, d.operator.Names, d.operator.Seed
+}
+
+func fleetPart(a *assembly) (part, error) {
+	_, names, _ := a.told()
+	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), Log: a.log}
+	if a.operator != nil {
+		b := a.operator.BatchServer
+		o.Batch = realserver.BatchOptions{Gather: time.Duration(b.Gather), Lines: b.Lines, Poll: time.Duration(b.Poll),
+			Lost: time.Duration(b.Lost)}
+	}
+	a.fleet = realserver.New(o)
+	return part{name: "real servers", reload: func(next deployment) {
+		_, names, _ := next.told()
+		a.fleet.Adjust(names.DialTimeout, names.ConnIdle, next.limits.IdleLinks())
+	}}, nil
+}
+
+func platformEntriesPart(a *assembly) (part, error) {
+	cfg := a.platform
+	names := entries.Names{Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds}
+	var seq int64
+	known := node.List{Kind: standpoint.ListFull}
+	if len(cfg.Known) > 0 {
+		var err error
+		if seq, known, err = entries.Decode(cfg.Known, names); err != nil {
+			return part{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	a.keep()
+	watcher := entries.NewWatcher(cfg.Discovery, names, seq, a.news, a.log)
+	a.source = watcher
+	start := func() { a.news(known) } // what this node last held; it may be old, and the first watch puts it right
+	return part{name: "service entries", start: start, run: together(a.keeper.Run, watcher.Run), reload: func(next deployment) {
+		if was, now := a.platform, next.platform; now.Discovery != was.Discovery || !reflect.DeepEqual(now.Names, was.Names) {
+			watcher.Move(now.Discovery, entries.Names{Zones: now.Names.Zones, Kinds: now.Names.Kinds})
+		}
+	}}, nil
+}
+
+func operatorEntriesPart(a *assembly) (part, error) {
+	cfg := a.operator
+	a.keep()
+	if cfg.Entries.Source == "dns-sd" {
+		a.source = &entries.Browser{Server: cfg.Entries.Server, Service: cfg.Entries.Service, Domain: cfg.Entries.Domain,
+			Refresh: time.Duration(cfg.Entries.Refresh), Names: entries.Names{Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
+			News: a.news, Log: a.log}
+	} else {
+		a.source = entries.Fixed{List: listed(cfg), News: a.news}
+	}
+	start := func() {
+		if known, ok := a.keeper.Known(); ok && cfg.Entries.Source != "list" {
+			a.core.News(known)
+		}
+	}
+	return part{name: "service entries", start: start, run: together(a.keeper.Run, a.source.Run), reload: func(next deployment) {
+		if next.operator.Entries.Source == "list" {
+			a.news(listed(next.operator))
+		}
+	}}, nil
+}
+
+func corePart(a *assembly) (part, error) {
+	settings, _, seed := a.told()
+	a.core = node.New(node.Options{Settings: settings, Seed: seed, MaxFlows: a.limits.Flows(), Servers: a.fleet,
+		Entries: a.source, Pools: a.pools, Log: a.log})
+	return part{name: "core", run: a.core.Run, reload: func(next deployment) {
+		settings, _, _ := next.told()
+		a.core.Adjust(settings, next.limits.Flows())
+	}}, nil
+}
+
+func edgePart(a *assembly) (part, error) {
+	_, names, _ := a.told()
+	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Log: a.log}
+	return part{name: "edge", reload: func(next deployment) {
+		_, names, _ := next.told()
+		a.front.Rename(names)
+	}}, nil
+}
+
+func batchPart(a *assembly) (part, error) {
+	cfg := a.operator
+	if !cfg.Batch.Enabled {
+		return part{}, nil
+	}
+	members := map[string]string{}
+	for _, m := range cfg.Store.Members {
+		members[m.ID] = m.Front
+	}
+	files := batch.New(batch.Options{Core: a.core, Store: a.keys, Log: a.log, Classes: cfg.Names.Classes,
+		Tenants: cfg.Names.Tenants, Fields: batch.Fields(cfg.Batch.Fields), Defaults: batch.Fields(cfg.Batch.Defaults),
+		LinesAtOnce: cfg.Batch.LinesAtOnce, LineTime: time.Duration(cfg.Batch.LineTime), Tries: cfg.Batch.Tries,
+		FileMost: cfg.Batch.FileMB << 20, Members: members})
+	handler := files.Handler()
+	a.handlers = append(a.handlers, prefixed{[]string{"/v1/files", "/v1/batches"},
+		http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// A file may take longer than a single request may.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(uploadTime))
+			handler.ServeHTTP(w, r)
+		})})
+	return part{name: "batch", run: files.Run}, nil
+}
+
+func agreePart(a *assembly) (part, error) {
+	if !a.operator.Batch.Enabled {
+		return part{}, nil
+	}
+	return part{name: "agreement", run: agree(a.keys, *a.operator, a.log)}, nil
+}
+
+// handler is all fronts in one.
+func (a *assembly) handler() http.Handler {
+	single := a.front.Handler()
+	if len(a.handlers) == 0 {
+		return single
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, h := range a.handlers {
+			for _, prefix := range h.prefixes {
+				if strings.HasPrefix(r.URL.Path, prefix) {
+					h.handler.ServeHTTP(w, r)
+					return
+				}
+			}
+		}
+		single.ServeHTTP(w, r)
+	})
+}
+
+// listed are the service entries that an operator's file lists by hand.
+func listed(cfg *config.Operator) node.List {
+	l := node.List{Kind: standpoint.ListFull}
+	index := func(names []string, name string) int {
+		for i, n := range names {
+			if n == name {
+				return i
+			}
+		}
+		return 0
+	}
+	for _, s := range cfg.RealServers {
+		l.Entries = append(l.Entries, node.ServiceEntry{Address: s.Address, Batch: s.Mode == "batch", Labels: s.Labels,
+			Engine: standpoint.Engine{Name: s.Name, Size: s.Size, Zone: index(cfg.Names.Zones, s.Zone),
+				Kind: index(cfg.Names.Kinds, s.Kind), State: s.State(), ReadyAt: s.ReadyAt()}})
+	}
+	return l
+}
+
+func baseOf(path string) string { return filepath.Dir(path) }
+
+func cutUnix(address string) (path string, ok bool) { return strings.CutPrefix(address, "unix:") }
--- a/internal/entries/keeper.go
+++ b/internal/entries/keeper.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"go.uber.org/zap"
@@ -18,6 +21,7 @@
 type Keeper struct {
 	store store.Store
 	log   *zap.Logger
+	order sync.Mutex // held while a change is noted and handed on, so that both happen in one order
 	mu    sync.Mutex
 	all   map[string]node.ServiceEntry
 	dirty chan struct{}
@@ -35,6 +39,31 @@
 	return l, v.Version != 0 && json.Unmarshal(v.Data, &l.Entries) == nil
 }
 
+// Tell notes a change and hands it on. Changes are handed on in the order in which they are noted: an older list
+// must not come behind the news of a drain.
+func (k *Keeper) Tell(l node.List, to func(node.List)) {
+	k.order.Lock()
+	defer k.order.Unlock()
+	k.Take(l)
+	to(l)
+}
+
+// Again hands the whole list on once more, as it was last told.
+func (k *Keeper) Again(to func(node.List)) {
+	k.order.Lock()
+	defer k.order.Unlock()
+	to(node.List{Kind: standpoint.ListFull, Entries: k.sorted()})
+}
+
+// Current is the list as last told, by name.
+func (k *Keeper) Current() []node.ServiceEntry { return k.sorted() }
+
+func (k *Keeper) sorted() []node.ServiceEntry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.SortedFunc(maps.Values(k.all), func(a, b node.ServiceEntry) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // Take notes a change. It never waits for the store: the watch must go on at once.
 func (k *Keeper) Take(l node.List) {
 	if l.Kind == standpoint.ListLost || l.Kind == standpoint.ListDelta && len(l.Entries) == 0 {
@@ -69,13 +98,7 @@
 		if _, leads := k.store.Leads(); !leads {
 			continue
 		}
-		k.mu.Lock()
-		list := make([]node.ServiceEntry, 0, len(k.all))
-		for _, e := range k.all {
-			list = append(list, e)
-		}
-		k.mu.Unlock()
-		raw, err := json.Marshal(list)
+		raw, err := json.Marshal(k.sorted())
 		if err == nil {
 			_, err = k.store.Write(ctx, store.Op{Key: lastKey, Data: raw, If: store.Any})
 		}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -19,7 +19,8 @@
 type ServiceEntry struct {
 	standpoint.Engine
 	Address string
-	Batch   bool // takes files of requests, not streams
+	Batch   bool              // takes files of requests, not streams
+	Labels  map[string]string // what the source tells besides; nil: nothing
 }
 
 // List is news of the service entries.
@@ -37,6 +38,34 @@
 // Entries is the actor of the service entries. Watch must not block.
 type Entries interface{ Watch() }
 
+// Pools say where flows belong, and hear what came of them. The core calls them from the module's actor alone; no
+// call may wait.
+type Pools interface {
+	// Place says which pool an entry is in, from its labels: 0 for none.
+	Place(e *ServiceEntry) int
+	// Listed tells of the entries as the module has them now.
+	Listed(l List)
+	// Assign says to which pool a flow belongs: 0 for any.
+	Assign(r *standpoint.Request) int
+	// Sent tells of an attempt.
+	Sent(r *standpoint.Request, server string, leg int)
+	// Ended tells how an attempt ended.
+	Ended(o Observation)
+	// Refused tells that a flow was turned down or failed by the module.
+	Refused(r *standpoint.Request)
+}
+
+// Observation is the end of an attempt as the core saw it.
+type Observation struct {
+	Request *standpoint.Request
+	Server  string
+	Result  Result
+	First   time.Duration // from the flow's arrival to its first event; 0: there was none
+	Own     time.Duration // likewise from the attempt's sending
+	Decode  time.Duration // from the first event to the last
+	Asked   bool          // given up by this node or its client: it says nothing of the server
+}
+
 // ErrBusy is returned for a flow beyond what the node may hold at once.
 var ErrBusy = errors.New("too many flows at once")
 
@@ -54,6 +83,7 @@
 	MaxFlows int
 	Servers  RealServers
 	Entries  Entries
+	Pools    Pools // nil: none
 	Log      *zap.Logger
 }
 
@@ -90,6 +120,15 @@
 	}
 )
 
+func (m ended) observation() Observation {
+	f := m.a.Flow
+	o := Observation{Request: &f.Request, Server: m.a.Server, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
+	if m.a.first > 0 {
+		o.First, o.Own, o.Decode = m.a.Sent.Add(m.a.first).Sub(f.arrived), m.a.first, m.elapsed-m.a.first
+	}
+	return o
+}
+
 // New makes a core; Run starts it.
 func New(o Options) *Core {
 	c := &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), mail: make(chan any, mailboxSize),
@@ -181,6 +220,12 @@
 	switch m := m.(type) {
 	case List:
 		c.Servers.Update(m)
+		if c.Pools != nil {
+			for i := range m.Entries {
+				m.Entries[i].Pool = c.Pools.Place(&m.Entries[i])
+			}
+			c.Pools.Listed(m)
+		}
 		news := &standpoint.EngineList{Kind: m.Kind}
 		for _, e := range m.Entries {
 			news.Engines = append(news.Engines, e.Engine)
@@ -203,6 +248,10 @@
 		c.nextID++
 		m.f.Request.ID = c.nextID
 		c.flows[c.nextID] = m.f
+		if c.Pools != nil {
+			m.f.Request.Pool = c.Pools.Assign(&m.f.Request)
+		}
+		m.f.arrived = time.Now()
 		request := m.f.Request
 		c.decide(&request)
 		c.forget(m.f)
@@ -210,10 +259,14 @@
 		c.decide(&standpoint.Left{Request: m.f.Request.ID})
 		c.forget(m.f)
 	case firstEvent:
+		m.a.first = m.elapsed
 		c.decide(&standpoint.FirstToken{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg,
 			Elapsed: int64(m.elapsed)})
 	case ended:
 		m.a.out = false
+		if c.Pools != nil {
+			c.Pools.Ended(m.observation())
+		}
 		c.decide(&standpoint.Outcome{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg, Last: m.a.Flow.isOver(),
 			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Report: m.r.Report})
 		c.forget(m.a.Flow)
@@ -250,7 +303,10 @@
 			answer = Answer{Kind: TurnedDown, Wait: time.Duration(a.Wait)}
 		}
 		if f := c.flows[a.Request]; f != nil {
-			f.settle(answer) // at once; one that an attempt claimed a moment ago goes on with its stream
+			// At once; one that an attempt claimed a moment ago goes on with its stream.
+			if f.settle(answer) && c.Pools != nil {
+				c.Pools.Refused(&f.Request)
+			}
 			c.forget(f)
 		}
 	default:
@@ -275,6 +331,9 @@
 	a.timer = time.AfterFunc(time.Until(a.Until), func() { a.giveUp(ErrNoAnswer) })
 	a.out = true
 	if !refuse && c.Servers.Send(a) {
+		if c.Pools != nil {
+			c.Pools.Sent(&f.Request, act.Engine, a.Leg)
+		}
 		return
 	}
 	a.out = false
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -57,7 +57,8 @@
 	idle chan struct{}
 
 	mu       sync.Mutex
-	over     bool // the final answer is decided
+	arrived  time.Time // the core's alone
+	over     bool      // the final answer is decided
 	claimed  *Attempt
 	attempts []*Attempt // the core's alone
 }
@@ -121,8 +122,9 @@
 	stop  context.CancelCauseFunc
 	timer *time.Timer
 	post  func(any)
-	out   bool // the core's alone: no outcome yet
-	given bool // under the flow's lock: given up
+	out   bool          // the core's alone: no outcome yet
+	first time.Duration // likewise: from the sending to the first event; 0: none yet
+	given bool          // under the flow's lock: given up
 }
 
 // Result is how an attempt ended, as the real server's actor saw it.
--- a/router.go
+++ b/router.go
@@ -588,6 +588,12 @@
 	if len(fresh) > 0 {
 		all = fresh // not again where it failed, while there is another
 	}
+	if q.Pool != 0 { // a pool in which nothing will do falls over to the others at once
+		own := slices.DeleteFunc(slices.Clone(all), func(o option) bool { return o.e.Pool != q.Pool })
+		if len(own) > 0 {
+			all = own
+		}
+	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].rank > all[j].rank })
 	if unit(mix(q.key(), prefixSalt)) >= r.spill() {
 		sort.SliceStable(all, func(i, j int) bool { return r.near(all[i].e) && !r.near(all[j].e) })
