--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,52 @@
+package standpoint
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkDecision is the cost of one request from its arrival to its outcome, by the number of engines, with and
+// without pools.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		for _, pools := range []int{0, 2} {
+			b.Run(fmt.Sprintf("engines=%d/pools=%d", n, pools), func(b *testing.B) {
+				set := Settings{Balancers: 3, Zones: 1, Kinds: 3, MaxAttempts: 3, Tick: 2 * ms, Reports: ReportReplies, Cancel: true,
+					Classes: []Class{{Streamed: true, TTFTAim: 2500 * ms, TPOTAim: 50 * ms, Deadline: 10 * second, Worth: 2}}}
+				r := New(set, 1)
+				list := &EngineList{Kind: ListFull}
+				for i := range n {
+					e := Engine{Name: fmt.Sprint("box-", i), Size: 1, Kind: i % 3}
+					if pools > 0 {
+						e.Pool = 1 + i%pools
+					}
+					list.Engines = append(list.Engines, e)
+				}
+				now, acts := second, []Action(nil)
+				acts = r.Handle(now, list, acts[:0])
+				b.ReportAllocs()
+				for id := int64(1); b.Loop(); id++ {
+					now += ms
+					q := &Request{ID: id, Expires: now + 10*second, Session: uint64(id/2 + 1), Prefix: uint64(id%7 + 1), PromptTokens: 1200,
+						PrefixTokens: 700, MaxTokens: 200}
+					if pools > 0 {
+						q.Pool = 1 + int(id)%pools
+					}
+					acts = r.Handle(now, q, acts[:0])
+					engine := ""
+					for _, a := range acts {
+						if a.Kind == Send {
+							engine = a.Engine
+						}
+					}
+					if engine == "" {
+						b.Fatal("nothing was sent")
+					}
+					acts = r.Handle(now, &FirstToken{Request: id, Elapsed: 100 * ms}, acts[:0])
+					acts = r.Handle(now, &Outcome{Request: id, Last: true, Engine: engine, Elapsed: 400 * ms, Kept: 700, Tokens: 60,
+						Report: &Report{Memory: 0.2, Slots: 0.3}}, acts[:0])
+				}
+			})
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -125,7 +125,12 @@
 }
 
 func (o *options) serve() error {
-	return daemon.Run(daemon.Options{File: o.config})
+	err := daemon.Run(daemon.Options{File: o.config})
+	var faulty *daemon.Faulty
+	if errors.As(err, &faulty) {
+		return exit{Faulty, err}
+	}
+	return err
 }
 
 func (o *options) versionCommand() *cobra.Command {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,12 @@
 	Log *zap.Logger
 }
 
+// Faulty is the error of a configuration that cannot be served; its message begins with the key.
+type Faulty struct{ error }
+
+// Unwrap implements errors.Unwrap.
+func (f *Faulty) Unwrap() error { return f.error }
+
 // Run serves until SIGTERM or SIGINT, and returns when all that was taken is answered. SIGHUP has it read its
 // configuration again.
 func Run(o Options) error {
@@ -48,7 +54,7 @@
 	defer signal.Stop(hangup)
 	d, err := read(o.File)
 	if err != nil {
-		return err
+		return &Faulty{err}
 	}
 	a := &assembly{deployment: d, base: baseOf(o.File), log: o.Log, level: zap.NewAtomicLevel(), life: &node.Life{}}
 	if a.log == nil {
--- a/internal/lab/study.go
+++ b/internal/lab/study.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math"
@@ -56,7 +57,7 @@
 }
 
 // Run runs the study on all cores and writes a line a summary as it goes.
-func (s Study) Run(progress io.Writer) []Summary {
+func (s Study) Run(ctx context.Context, progress io.Writer) ([]Summary, error) {
 	drivers := map[string]func(mover.Plan) Driver{"mover": nil}
 	if s.Fixed {
 		for name, d := range fixedThresholds() {
@@ -65,7 +66,7 @@
 	}
 	names := []string{"mover", "threshold, 1 check", "threshold, 3 checks"}[:len(drivers)]
 	base := make([]Result, s.Runs)
-	parallel(s.Runs, func(i int) {
+	parallel(ctx, s.Runs, func(i int) {
 		c := s.oneCase(i, Trouble{})
 		c.None = true
 		base[i] = c.Run()
@@ -74,13 +75,16 @@
 	for _, t := range s.Troubles {
 		for _, name := range names {
 			results := make([]Result, s.Runs)
-			parallel(s.Runs, func(i int) {
+			parallel(ctx, s.Runs, func(i int) {
 				c := s.oneCase(i, t)
 				c.Driver = drivers[name]
 				results[i] = c.Run()
 				results[i].Base = base[i].Least
 				results[i].Seconds = nil
 			})
+			if ctx.Err() != nil {
+				return all, ctx.Err()
+			}
 			sum := summarize(t, name, results, base)
 			all = append(all, sum)
 			if progress != nil {
@@ -90,7 +94,7 @@
 			}
 		}
 	}
-	return all
+	return all, nil
 }
 
 // oneCase is the run of one seed. The trouble comes somewhere in the middle of some step.
@@ -101,7 +105,8 @@
 		Most: s.Most, Settle: s.Settle}
 }
 
-func parallel(n int, do func(i int)) {
+// parallel does things on all cores; once ctx ends it begins no further one.
+func parallel(ctx context.Context, n int, do func(i int)) {
 	var wait sync.WaitGroup
 	next := make(chan int)
 	for range runtime.GOMAXPROCS(0) {
@@ -111,8 +116,11 @@
 			}
 		})
 	}
-	for i := range n {
-		next <- i
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+		}
 	}
 	close(next)
 	wait.Wait()
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -36,12 +37,13 @@
 	var only []string
 	c := &cobra.Command{Use: "moves", Short: "Measure traffic moves over seeded runs in virtual time",
 		Example: "  lab moves --runs 300 --fixed\n  lab moves --runs 30 --large --trouble 'slower 2x'",
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(c *cobra.Command, _ []string) error {
 			s := lab.Study{Runs: runs, First: seed, Setup: lab.Small(), Troubles: lab.Troubles(), Most: 260, For: 100, Settle: 30, Fixed: fixed}
-			if large {
+			s.Plan = s.Setup.Plan()
+			if large { // samples come fast there, so steps are held for less
 				s.Setup = lab.Large()
+				s.Plan.Hold, s.Plan.Warm, s.Settle, s.Most, s.For = 6*time.Second, 5*time.Second, 8, 100, 45
 			}
-			s.Plan = s.Setup.Plan()
 			if only != nil {
 				var kept []lab.Trouble
 				for _, t := range s.Troubles {
@@ -54,10 +56,10 @@
 				}
 				s.Troubles = kept
 			}
-			all := s.Run(errs)
+			all, err := s.Run(c.Context(), errs)
 			lab.WriteTable(out, all)
-			if file == "" {
-				return nil
+			if err != nil || file == "" {
+				return err
 			}
 			raw, err := json.MarshalIndent(all, "", "  ")
 			if err != nil {
--- a/internal/mover/machine_test.go
+++ b/internal/mover/machine_test.go
@@ -490,3 +490,16 @@
 		require.Equal(t, key, fault.Key, fmt.Sprint(fault))
 	}
 }
+
+// A node that has lost sight of the boxes must not speak for the others, and the colder view of their warmth holds.
+func TestViewsOfSeveralNodes(t *testing.T) {
+	seen, cold, blind := Health{Boxes: 4, Ready: 4, Size: 4, Able: 4}, Health{Boxes: 3, Ready: 3, Size: 3, Able: 1.5}, Health{}
+	for _, order := range [][]Health{{seen, cold, blind}, {blind, cold, seen}, {cold, blind, seen}} {
+		var s Side
+		for _, h := range order {
+			s = s.Add(Side{Health: h})
+		}
+		require.Equal(t, Health{Boxes: 4, Ready: 4, Size: 4, Able: 2}, s.Health)
+	}
+	require.Zero(t, Side{}.Add(Side{Health: Health{Boxes: 2}}).Health.Ready)
+}
--- a/internal/mover/plan.go
+++ b/internal/mover/plan.go
@@ -188,8 +188,7 @@
 	Health   Health   `json:"health"`
 }
 
-// Add joins what another node saw in the same window. Health is not summed: all nodes see the same boxes, and the
-// gloomier view holds.
+// Add joins what another node saw in the same window.
 func (s Side) Add(o Side) Side {
 	s.Flows += o.Flows
 	s.Asked += o.Asked
@@ -199,12 +198,26 @@
 	s.Attempts += o.Attempts
 	s.Errors += o.Errors
 	s.Samples = append(slices.Clip(s.Samples), o.Samples...)
-	if s.Health.Boxes == 0 || o.Health.Able < s.Health.Able {
-		s.Health = o.Health
-	}
+	s.Health = s.Health.join(o.Health)
 	return s
 }
 
+// join makes one view of two nodes'. A node that has lost sight of a pool does not speak for the others, who see it;
+// of how warm its boxes are the colder view holds.
+func (h Health) join(o Health) Health {
+	if o.Size == 0 || h.Size == 0 {
+		if h.Size == 0 {
+			o.Boxes = max(h.Boxes, o.Boxes)
+			return o
+		}
+		h.Boxes = max(h.Boxes, o.Boxes)
+		return h
+	}
+	warm := min(h.Able/h.Size, o.Able/o.Size)
+	size := max(h.Size, o.Size)
+	return Health{max(h.Boxes, o.Boxes), max(h.Ready, o.Ready), size, warm * size}
+}
+
 // Window is what all live nodes saw in one window.
 type Window struct {
 	From, To Side
--- a/internal/moves/actor.go
+++ b/internal/moves/actor.go
@@ -43,6 +43,7 @@
 	Peers   map[string]string // control addresses of the store's members, by id
 	Token   func() string     // for the other members
 	Window  time.Duration     // mover.WindowTime but in tests
+	Live    time.Duration     // after which a silent node does not count as live; 0: 5 s
 	Log     *zap.Logger
 }
 
@@ -138,6 +139,9 @@
 	if o.Window == 0 {
 		o.Window = mover.WindowTime
 	}
+	if o.Live == 0 {
+		o.Live = liveFor
+	}
 	return &Actor{Options: o, mail: make(chan any, mailMost), heard: map[string]*heard{}, sent: make(chan error, 1)}
 }
 
@@ -267,15 +271,17 @@
 	var w mover.Window
 	own := a.Tracker.Digest()
 	for name, h := range a.heard {
-		if now.Sub(h.at) > a.live() {
+		if now.Sub(h.at) > a.Live {
 			delete(a.heard, name)
 			a.Log.Warn("a node is no longer heard; the move goes on without it", zap.String("node", name))
 			continue
 		}
 		w.Nodes++
 		switch {
-		case h.digest != own:
+		case h.digest != own: // its counts are of other pools
 			w.Behind = append(w.Behind, name+" (its pools differ)")
+			h.from, h.to = mover.Side{}, mover.Side{}
+			continue
 		case h.id != a.record.ID || h.version != a.record.Version:
 			w.Behind = append(w.Behind, name)
 		}
@@ -286,8 +292,6 @@
 	return w
 }
 
-func (a *Actor) live() time.Duration { return max(liveFor*a.Window/mover.WindowTime, 3*a.Window) }
-
 // write records the machine's state; only then is it in force, here too. A record that another has changed meanwhile
 // is taken up anew: whoever leads now carries it on.
 func (a *Actor) write(ctx context.Context) error {
--- a/router.go
+++ b/router.go
@@ -5,10 +5,10 @@
 // match table, predictor, engine state and health, probes. state.go says what is remembered.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 )
 
 const (
@@ -575,7 +575,7 @@
 
 // options predicts for every engine that may be used.
 func (r *Router) options(q *request, wide bool) []option {
-	var all []option
+	all := make([]option, 0, len(r.ready))
 	ignore := r.sharedTrouble()
 	aim, c := r.aim(q), r.class(q)
 	left := aim - seconds(r.now-q.at)
@@ -584,20 +584,22 @@
 			all = append(all, option{e: e, match: r.match(q, e), rank: rank(q.key(), e)})
 		}
 	}
-	fresh := slices.DeleteFunc(slices.Clone(all), func(o option) bool { return q.tried(o.e) })
-	if len(fresh) > 0 {
-		all = fresh // not again where it failed, while there is another
+	if len(q.attempts) > 0 { // not again where it failed, while there is another
+		all = prefer(all, func(e *engine) bool { return !q.tried(e) })
 	}
 	if q.Pool != 0 { // a pool in which nothing will do falls over to the others at once
-		own := slices.DeleteFunc(slices.Clone(all), func(o option) bool { return o.e.Pool != q.Pool })
-		if len(own) > 0 {
-			all = own
-		}
-	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].rank > all[j].rank })
-	if unit(mix(q.key(), prefixSalt)) >= r.spill() {
-		sort.SliceStable(all, func(i, j int) bool { return r.near(all[i].e) && !r.near(all[j].e) })
+		all = prefer(all, func(e *engine) bool { return e.Pool == q.Pool })
 	}
+	home := unit(mix(q.key(), prefixSalt)) >= r.spill()
+	slices.SortStableFunc(all, func(a, b option) int {
+		if near := r.near(a.e); home && near != r.near(b.e) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.rank, a.rank)
+	})
 	// The more of the traffic this gateway sees, the more of the fleet it can tell apart.
 	n, scored := 0, max(sampleSize, len(all)/max(1, r.set.Balancers))
 	for i := range all {
@@ -630,6 +632,14 @@
 	return all
 }
 
+// prefer keeps the options that the test lets through, or all where it lets none through.
+func prefer(all []option, test func(*engine) bool) []option {
+	if !slices.ContainsFunc(all, func(o option) bool { return test(o.e) }) {
+		return all
+	}
+	return slices.DeleteFunc(all, func(o option) bool { return !test(o.e) })
+}
+
 // spill is the part of the sessions that are ranked over all zones. Where crossing costs nothing that is
 // all; else what the own zone lacks of an even share of the fleet's size.
 func (r *Router) spill() float64 {
