--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -169,7 +169,7 @@
 	if b.errors > 0 && b.rng.Float64() < b.errors {
 		return Errored, false
 	}
-	if b.draining || len(b.queue) >= b.Queue && len(b.running) >= b.Slots {
+	if b.draining || len(b.queue)+len(b.running) >= b.Queue+b.Slots {
 		return Full, false
 	}
 	b.queue = append(b.queue, &job{Job: j})
--- /dev/null
+++ b/internal/box/box_test.go
@@ -0,0 +1,151 @@
+package box
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var figures = Figures{Slots: 4, Queue: 2, Memory: 10_000, Chunk: 1000, Step: 0.01, PerSequence: 0.001, ReadPerS: 10_000, ColdShare: 0.1,
+	WarmUp: 20, FallFactor: 4, Fall: 3, Capacity: 2, ReportEvery: 0}
+
+// play lets a box work until it has nothing to do, and returns when each job had its first token and its end.
+func play(b *Box, most float64) (first, done map[int64]float64, kept map[int64]float64) {
+	first, done, kept = map[int64]float64{}, map[int64]float64{}, map[int64]float64{}
+	for at := b.Next(); at < most; at = b.Next() {
+		for _, p := range b.Advance(at) {
+			if p.First {
+				first[p.ID] = at
+			}
+			if p.Done {
+				done[p.ID], kept[p.ID] = at, p.Kept
+			}
+		}
+	}
+	return first, done, kept
+}
+
+func submit(t *testing.T, b *Box, now float64, j Job, want Verdict) {
+	v, _ := b.Submit(now, j)
+	require.Equal(t, want, v)
+}
+
+func TestStepsReadPromptsAndMakeTokens(t *testing.T) {
+	b := New(figures, 1, LongAgo)
+	submit(t, b, 0, Job{ID: 1, Prompt: 2000, Out: 5}, Taken)
+	first, done, _ := play(b, 10)
+	step := 0.01 + 0.001
+	require.InDelta(t, 2*(step+0.1), first[1], 1e-9, "two chunks are read")
+	require.InDelta(t, first[1]+4*step, done[1], 1e-9)
+}
+
+func TestKeptPromptsAreNotReadAgain(t *testing.T) {
+	b := New(figures, 1, LongAgo)
+	submit(t, b, 0, Job{ID: 1, Session: 7, Prefix: 3, Shared: 400, Prompt: 2000, Out: 5}, Taken)
+	play(b, 10)
+	submit(t, b, 10, Job{ID: 2, Session: 7, Prompt: 2100, Out: 5}, Taken)
+	submit(t, b, 10, Job{ID: 3, Session: 8, Prefix: 3, Shared: 400, Prompt: 900, Out: 5}, Taken)
+	_, _, kept := play(b, 20)
+	require.InDelta(t, 2005, kept[2], 1e-9, "prompt and answer of the turn before")
+	require.InDelta(t, 400, kept[3], 1e-9, "the shared beginning")
+	submit(t, b, 20, Job{ID: 4, Session: 9, Prompt: 9900, Out: 5}, Taken) // takes all the room
+	play(b, 30)
+	submit(t, b, 30, Job{ID: 5, Session: 7, Prompt: 2200, Out: 5}, Taken)
+	_, _, kept = play(b, 40)
+	require.Zero(t, kept[5], "what was unused for longest went first")
+}
+
+func TestAFullBoxTurnsAway(t *testing.T) {
+	b := New(figures, 1, LongAgo)
+	for id := range int64(6) {
+		submit(t, b, 0, Job{ID: id, Prompt: 100, Out: 3}, Taken)
+	}
+	submit(t, b, 0, Job{ID: 9, Prompt: 100, Out: 3}, Full)
+	_, done, _ := play(b, 10)
+	require.Len(t, done, 6)
+	b.Drain()
+	submit(t, b, 10, Job{ID: 10, Prompt: 100, Out: 3}, Full)
+}
+
+func TestPausesSlownessAndCold(t *testing.T) {
+	took := func(started float64, bring func(b *Box)) float64 {
+		b := New(figures, 1, started)
+		submit(t, b, 0, Job{ID: 1, Prompt: 100, Out: 10}, Taken)
+		bring(b)
+		_, done, _ := play(b, 100)
+		return done[1]
+	}
+	plain := took(LongAgo, func(*Box) {})
+	require.InDelta(t, plain+2, took(LongAgo, func(b *Box) { b.Pause(0.005, 2.005) }), 1e-9, "a pause in the middle of a step")
+	require.InDelta(t, plain+2, took(LongAgo, func(b *Box) { b.Pause(0.005, 1); b.Pause(0.5, 2.005) }), 1e-9, "pauses that overlap")
+	require.Greater(t, took(0, func(*Box) {}), 5*plain, "cold")
+	b := New(figures, 1, LongAgo)
+	b.Slow(2)
+	submit(t, b, 0, Job{ID: 1, Prompt: 100, Out: 10}, Taken)
+	_, done, _ := play(b, 100)
+	require.InDelta(t, 2*plain, done[1], 1e-9)
+}
+
+// Sent four times what it can do for three seconds, a cold box falls over; a warm one does not.
+func TestAColdBoxFallsOver(t *testing.T) {
+	for _, c := range []struct {
+		started, rate float64
+		falls         bool
+	}{{0, 0.7, false}, {0, 6, true}, {LongAgo, 30, false}} {
+		b := New(figures, 1, c.started)
+		fallen := false
+		for at := 0.0; at < 6 && !fallen; at += 1 / c.rate {
+			for b.Next() <= at {
+				b.Advance(b.Next())
+			}
+			_, fallen = b.Submit(at, Job{ID: int64(at * 1000), Prompt: 10, Out: 2})
+		}
+		require.Equal(t, c.falls, fallen, "%+v", c)
+		if fallen {
+			b.Kill()
+			submit(t, b, 10, Job{ID: 1, Prompt: 10, Out: 2}, Dead)
+			b.Restart(20)
+			submit(t, b, 20, Job{ID: 1, Prompt: 10, Out: 2}, Taken)
+		}
+	}
+}
+
+func TestErrorsAndCancels(t *testing.T) {
+	b := New(figures, 1, LongAgo)
+	b.Fail(0.5)
+	errors := 0
+	for id := range int64(400) {
+		if v, _ := b.Submit(float64(id), Job{ID: id, Prompt: 10, Out: 2}); v == Errored {
+			errors++
+		}
+		play(b, float64(id+1))
+	}
+	require.InDelta(t, 200, errors, 50)
+	b.Fail(0)
+	submit(t, b, 1000, Job{ID: 1000, Prompt: 10, Out: 1000}, Taken)
+	b.Cancel(1000)
+	_, done, _ := play(b, 2000)
+	require.Empty(t, done)
+	require.True(t, b.Idle())
+	require.True(t, math.IsInf(b.Next(), 1))
+}
+
+// What Able says a box can do it does, about, when it is sent that.
+func TestAbleIsAboutRight(t *testing.T) {
+	f := Figures{Slots: 24, Queue: 1000, Memory: 300_000, Chunk: 2048, Step: 0.015, PerSequence: 0.00035, PerContext: 0.00005, ReadPerS: 10_000}
+	rate := f.Able(700, 700, 100, 0.05)
+	b := New(f, 1, LongAgo)
+	done := 0
+	for at, id := 0.0, int64(1); at < 200; at, id = at+1/rate, id+1 {
+		for b.Next() <= at {
+			for _, p := range b.Advance(b.Next()) {
+				if p.Done {
+					done++
+				}
+			}
+		}
+		b.Submit(at, Job{ID: id, Prompt: 700, Out: 100})
+	}
+	require.InDelta(t, 200*rate, done, 20*rate)
+}
--- /dev/null
+++ b/internal/boxes/story_test.go
@@ -0,0 +1,120 @@
+package boxes
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"standpoint/internal/box"
+)
+
+var figures = box.Figures{Slots: 4, Queue: 1, Memory: 20_000, Chunk: 1000, Step: 0.002, ReadPerS: 100_000, ColdShare: 0.2, WarmUp: 5}
+
+func start(t *testing.T, f box.Figures) *Server {
+	s, err := Start(Options{Name: "box-1", Listen: "127.0.0.1:0", Figures: f, Seed: 1, Out: 12})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return s
+}
+
+func ask(s *Server, id, body string) (status int, header http.Header, text string, err error) {
+	r, err := http.NewRequest("POST", "http://"+s.Address+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, nil, "", err
+	}
+	r.Header.Set("X-Trace-Id", id)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(raw), err
+}
+
+const talk = `{"max_tokens":12,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"how many hours"}]}`
+
+func TestAnswersAreStreamsWithUsageAndLoad(t *testing.T) {
+	s := start(t, figures)
+	body := fmt.Sprintf(talk, strings.Repeat("word", 500))
+	status, header, text, err := ask(s, "a-1", body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "text/event-stream", header.Get("Content-Type"))
+	require.Contains(t, text, `"finish_reason":"stop"`)
+	require.Contains(t, text, `"cached_tokens":0`)
+	require.Contains(t, text, "data: [DONE]\n\n: Endpoint-Load-Metrics: TEXT x0=")
+	_, _, text, err = ask(s, "a-2", body)
+	require.NoError(t, err)
+	require.Contains(t, text, `"prompt_tokens":504`)
+	require.NotContains(t, text, `"cached_tokens":0`, "the prompt was kept")
+	for wrong, want := range map[string]int{"": http.StatusNotFound, "b-1": http.StatusBadRequest} {
+		status, _, _, err = ask(s, wrong, `{"messages":[]}`)
+		require.NoError(t, err)
+		require.Equal(t, want, status)
+	}
+}
+
+func TestFailuresOnSockets(t *testing.T) {
+	s := start(t, figures)
+	body := fmt.Sprintf(talk, "short")
+	s.Do(func(b *box.Box, _ float64) { b.Fail(1) })
+	status, _, _, err := ask(s, "a", body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, status)
+	s.Do(func(b *box.Box, _ float64) { b.Fail(0); b.Drain() })
+	status, header, _, err := ask(s, "b", body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "1", header.Get("X-Never-Ran"))
+	s.Kill()
+	_, _, _, err = ask(s, "c", body)
+	require.Error(t, err)
+	s.Restart()
+	require.Eventually(t, func() bool { status, _, _, err := ask(s, "d", body); return err == nil && status == http.StatusOK }, 10*time.Second, 10*time.Millisecond)
+	doubles, _ := s.Doubles()
+	require.Zero(t, doubles)
+
+	// A box that dies with a stream half out breaks it off.
+	s.Do(func(b *box.Box, now float64) { b.Slow(100) })
+	broke := make(chan error, 1)
+	go func() {
+		_, _, _, err := ask(s, "e", body)
+		broke <- err
+	}()
+	require.Eventually(t, func() bool { return s.Load().Slots > 0 }, 10*time.Second, time.Millisecond)
+	s.Kill()
+	require.Error(t, <-broke)
+}
+
+func TestFleetFilesAreChecked(t *testing.T) {
+	good, err := os.ReadFile("../../deploy/lab/two-pools.toml")
+	require.NoError(t, err)
+	read := func(text string) error {
+		path := filepath.Join(t.TempDir(), "fleet.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := ReadFleet(path)
+		return err
+	}
+	require.NoError(t, read(string(good)))
+	for _, c := range []struct{ from, to, key string }{
+		{"slots = 24", "slots = 0", "box[0].slots:"},
+		{`name = "old-2"`, `name = "old-1"`, "box[1].name:"},
+		{"read_per_s = 10000", "read_per_s = -1", "box[0].read_per_s:"},
+		{"cold_share = 0.13", "cold_share = 2.0", "box[0].cold_share:"},
+		{`do = "slow"`, `do = "sing"`, "event[0].do:"},
+		{`boxes = ["new-1", "new-2"]`, `boxes = ["new-9"]`, "event[0].boxes:"},
+		{"slots = 24", "slotz = 24", "box.slotz: unknown key"},
+	} {
+		require.Contains(t, string(good), c.from)
+		require.ErrorContains(t, read(strings.Replace(string(good), c.from, c.to, 1)), c.key)
+	}
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func run(args ...string) (out, errs string, code int) {
+	var o, e bytes.Buffer
+	code = Main(context.Background(), args, Streams{Out: &o, Err: &e})
+	return o.String(), e.String(), code
+}
+
+func TestCheckPrintsWhatHolds(t *testing.T) {
+	out, _, code := run("check", "../../deploy/operator.toml")
+	require.Zero(t, code)
+	require.Contains(t, out, `max_attempts = 3`)
+	require.Contains(t, out, `floor = 0.9`, "defaults are filled in")
+	again := filepath.Join(t.TempDir(), "printed.toml")
+	require.NoError(t, os.WriteFile(again, []byte(out), 0o600))
+	twice, errs, code := run("check", again)
+	require.Zero(t, code, errs)
+	require.Equal(t, out, twice, "what is printed is a file that holds the same")
+	out, _, code = run("check", "../../deploy/operator.toml", "-o", "json")
+	require.Zero(t, code)
+	var whole map[string]any
+	require.NoError(t, json.Unmarshal([]byte(out), &whole))
+	require.Equal(t, "payroll-1", whole["name"])
+	raw, err := os.ReadFile("../../deploy/operator.toml")
+	require.NoError(t, err)
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	for from, key := range map[string]string{`worth = 2.0`: "class[0].worth:", `[store]`: "log.level:"} {
+		to := map[string]string{`worth = 2.0`: `worth = -2.0`, `[store]`: "[log]\nlevel = \"loud\"\n[store]"}[from]
+		require.NoError(t, os.WriteFile(bad, []byte(strings.Replace(string(raw), from, to, 1)), 0o600))
+		_, errs, code := run("check", bad)
+		require.Equal(t, Faulty, code)
+		require.Contains(t, errs, key)
+	}
+}
+
+func TestFaultyCommandLines(t *testing.T) {
+	for args, want := range map[string]struct {
+		code int
+		says string
+	}{
+		"-config /nowhere":                    {Faulty, "/nowhere"}, // the old form, serving
+		"-config=/nowhere":                    {Faulty, "/nowhere"},
+		"serve --config /nowhere":             {Faulty, "/nowhere"},
+		"move start":                          {Faulty, "--to"},
+		"move status":                         {Faulty, "--control"},
+		"move status --control 127.0.0.1:1":   {Unreachable, "does not answer"},
+		"move status --control unix:/nowhere": {Unreachable, "does not answer"},
+		"version --output xml":                {Faulty, "--output"},
+		"version extra":                       {Faulty, "extra"},
+		"check":                               {Faulty, "1 arg"},
+		"move status --control a --token-file /nowhere": {Faulty, "--token-file"},
+		"version --loud": {Faulty, "--loud"},
+	} {
+		_, errs, code := run(strings.Fields(args)...)
+		require.Equal(t, want.code, code, "%s: %s", args, errs)
+		require.Contains(t, errs, want.says, args)
+	}
+	out, _, code := run("version", "-o", "json")
+	require.Zero(t, code)
+	require.Contains(t, out, `"version"`)
+	out, _, code = run("completion", "bash")
+	require.Zero(t, code)
+	require.Contains(t, out, "standpoint")
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,9 @@
 	return err
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // Class is a class of requests in an operator's file.
 type Class struct {
 	Name        string   `toml:"name"`
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -139,6 +139,9 @@
 func (w *World) reach(t *try) {
 	m, a := t.box, t.ask
 	w.trace++
+	if m.drainedAt > 0 && w.now-m.drainedAt > 0.5 {
+		w.lateSends++
+	}
 	t.id = int64(w.trace)
 	out := max(2, int(w.logNormal(a.class.Out, a.class.OutSpread)))
 	v, fell := m.Submit(w.now, box.Job{ID: t.id, Session: a.request.Session, Prefix: a.request.Prefix, Prompt: a.request.PromptTokens,
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,66 @@
+package lab
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"standpoint/internal/mover"
+)
+
+func small(seed uint64, t Trouble) Case {
+	s := Small()
+	s.Seed = seed
+	p := s.Plan()
+	return Case{Setup: s, Plan: p, Trouble: t, Step: 2, After: 6, For: 90, Most: 240, Settle: 20}
+}
+
+// The same seed gives the same run, to the last figure.
+func TestRunsAreTheSameEachTime(t *testing.T) {
+	c := small(5, Trouble{Slow: 2})
+	c.Trace = true
+	first, second := c.Run(), c.Run()
+	require.Equal(t, fmt.Sprintf("%+v", first), fmt.Sprintf("%+v", second))
+	require.NotEmpty(t, first.Trace)
+}
+
+// Boxes that are all cold at full evening load take the whole traffic in the end, and none is pushed over: with three
+// nodes that each do as they would alone, and no cap by the mover, some are.
+func TestColdPoolsAreNotPushedOver(t *testing.T) {
+	c := small(3, Trouble{})
+	c.NewCold, c.Settle, c.Step = true, 0, 99
+	r := c.Run()
+	require.Equal(t, mover.Done, r.State)
+	require.Zero(t, r.Fell)
+	require.Greater(t, r.Mean, 0.97)
+}
+
+func TestAMoveGoesBackWithinAMinute(t *testing.T) {
+	for _, trouble := range []Trouble{{Name: "slow", Slow: 2}, {Name: "errors", Errors: 0.2}, {Name: "dead", Dead: true}} {
+		r := small(7, trouble).Run()
+		require.Equal(t, mover.Undone, r.State, trouble.Name)
+		require.LessOrEqual(t, r.Back, 60.0, trouble.Name)
+		require.Greater(t, r.Mean, 0.9, trouble.Name)
+	}
+}
+
+// The old pool dies: its flows fall over at once, and nothing goes back to it.
+func TestTheOldPoolDiesInTheMiddleOfAMove(t *testing.T) {
+	c := small(11, Trouble{OldDead: true})
+	c.Trace = true
+	r := c.Run()
+	require.NotEqual(t, mover.Undone, r.State)
+	last := r.Trace[len(r.Trace)-1]
+	require.GreaterOrEqual(t, last.Share, 0.5)
+	_, after := service(r.Seconds, r.TroubleAt+15, r.TroubleAt+80)
+	require.Greater(t, after, 0.9)
+}
+
+// Boxes that drain in the middle of a step get nothing new, and the move goes on with the rest.
+func TestADrainInTheMiddleOfAStep(t *testing.T) {
+	c := small(13, Trouble{Drain: 3})
+	r := c.Run()
+	require.Equal(t, mover.Done, r.State)
+	require.Zero(t, r.LateSends, "attempts that reached a draining box 500 ms after the drain was told")
+}
--- a/internal/lab/moves.go
+++ b/internal/lab/moves.go
@@ -121,6 +121,7 @@
 	Seconds    []Second
 	Trace      []Point
 	TroubleAt  float64
+	LateSends  int // attempts that reached a box more than 500 ms after its drain was told
 	Violations []string
 }
 
@@ -218,7 +219,7 @@
 		w.Run(at)
 	}
 	r.State = record.State
-	r.Seconds = w.Seconds
+	r.Seconds, r.LateSends = w.Seconds, w.lateSends
 	r.Least, r.Mean = service(w.Seconds, c.Settle, end)
 	for _, m := range w.boxes {
 		if !m.Alive() && !(c.Trouble.Dead && m.pool == 2) && !(c.Trouble.OldDead && m.pool == 1) {
@@ -282,7 +283,7 @@
 		if !isNew && drained < t.Drain {
 			drained++
 			m.Drain()
-			m.state = standpoint.Draining
+			m.state, m.drainedAt = standpoint.Draining, w.now
 		}
 	}
 	if drained > 0 {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -83,6 +83,8 @@
 	nextKey uint64
 	trace   uint64
 
+	lateSends int
+
 	// Totals of the run, by second of the request's arrival.
 	Seconds []Second
 }
@@ -104,7 +106,8 @@
 	state   standpoint.State
 	serial  uint64 // of the step that is due
 	jobs    map[int64]*try
-	Most    int // attempts of one request at once, over all boxes, is checked at the requests
+
+	drainedAt float64 // when its drain was told; 0: never
 }
 
 // ask is a request of a client.
