--- a/internal/boxes/fleet.go
+++ b/internal/boxes/fleet.go
@@ -17,15 +17,19 @@
 	Seed   uint64  `toml:"seed"`
 	Out    float64 `toml:"out_tokens"`
 	Spread float64 `toml:"out_spread"`
-	Boxes  []struct {
-		Name    string `toml:"name"`
-		Address string `toml:"address"`
-		Cold    bool   `toml:"cold"`
-		box.Figures
-	} `toml:"box"`
+	Boxes  []Box   `toml:"box"`
+	Groups []Group `toml:"group"`
 	Events []Event `toml:"event"`
 }
 
+// Box is one box of a fleet's file.
+type Box struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+	Cold    bool   `toml:"cold"`
+	box.Figures
+}
+
 // Event is something that happens to some boxes at a time.
 type Event struct {
 	At    Span     `toml:"at"`
@@ -58,6 +62,9 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fmt.Errorf("%s: unknown key", unknown[0])
 	}
+	if err := f.expand(); err != nil {
+		return nil, err
+	}
 	return &f, f.check()
 }
 
--- a/internal/boxes/story_test.go
+++ b/internal/boxes/story_test.go
@@ -118,3 +118,44 @@
 		require.ErrorContains(t, read(strings.Replace(string(good), c.from, c.to, 1)), c.key)
 	}
 }
+
+// Groups are drawn from their ranges, the same for the same seed.
+func TestGroupsAreDrawnFromRanges(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	text := `seed = 3
+[[group]]
+name = "fast"
+count = 9
+address = "127.0.0.1:9100"
+slots = [17, 32]
+queue = 40
+memory = [130000, 490000]
+chunk = 2048
+step = [0.010, 0.018]
+per_sequence = [0.00005, 0.00035]
+read_per_s = [8300, 30000]
+`
+	read := func(text string) (*Fleet, error) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return ReadFleet(path)
+	}
+	f, err := read(text)
+	require.NoError(t, err)
+	require.Len(t, f.Boxes, 9)
+	require.Equal(t, "fast-9", f.Boxes[8].Name)
+	require.Equal(t, "127.0.0.1:9108", f.Boxes[8].Address)
+	drawn := map[float64]bool{}
+	for _, b := range f.Boxes {
+		require.True(t, b.Slots >= 17 && b.Slots <= 32 && b.Step >= 0.010 && b.Step <= 0.018, "%+v", b)
+		drawn[b.Step] = true
+	}
+	require.Len(t, drawn, 9)
+	again, err := read(text)
+	require.NoError(t, err)
+	require.Equal(t, f.Boxes, again.Boxes)
+	for from, key := range map[string]string{"count = 9": "group[0].count:", "[17, 32]": "group.slots", ":9100": "group[0].address:"} {
+		to := map[string]string{"count = 9": "count = 0", "[17, 32]": "[32, 17]", ":9100": ":65530"}[from]
+		_, err := read(strings.Replace(text, from, to, 1))
+		require.ErrorContains(t, err, key)
+	}
+}
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -118,11 +118,13 @@
 	return e, nil
 }
 
-// attribute takes in one key=value of a TXT record. Keys are not case-sensitive; unknown ones are skipped.
+// attribute takes in one key=value of a TXT record. Keys are not case-sensitive; unknown ones become
+// labels.
 func (b *Browser) attribute(e *node.ServiceEntry, text string) error {
 	name, value, _ := strings.Cut(text, "=")
+	name = strings.ToLower(name)
 	var err error
-	switch strings.ToLower(name) {
+	switch name {
 	case "site":
 		e.Zone = index(b.Names.Zones, value)
 	case "class":
@@ -139,6 +141,14 @@
 		e.Batch = value == "batch"
 	case "health":
 		e.State, err = state(value)
+	case "":
+	default: // for pools to select by
+		if e.Labels == nil {
+			e.Labels = map[string]string{}
+		}
+		if _, told := e.Labels[name]; !told { // the first wins (RFC 6763, 6.4)
+			e.Labels[name] = value
+		}
 	}
 	if err != nil {
 		return fmt.Errorf("TXT %s: %w", name, err)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -25,8 +25,8 @@
 	require.NotEmpty(t, first.Trace)
 }
 
-// Boxes that are all cold at full evening load take the whole traffic in the end, and none is pushed over: with three
-// nodes that each do as they would alone, and no cap by the mover, some are.
+// Boxes that are all cold at full evening load take the whole traffic in the end, and none is pushed over, by three
+// nodes together.
 func TestColdPoolsAreNotPushedOver(t *testing.T) {
 	c := small(3, Trouble{})
 	c.NewCold, c.Settle, c.Step = true, 0, 99
--- a/internal/moves/story_test.go
+++ b/internal/moves/story_test.go
@@ -431,3 +431,25 @@
 	tell(tr, entry("box-1", "v1"), cold, draining)
 	require.Equal(t, mover.Health{Boxes: 2, Ready: 1, Size: 1, Able: 0.13}, tr.Health("new", now))
 }
+
+// Two that both think they lead write under the version that they saw last: one of the two writes counts, and the
+// other takes the record up anew. No step is left out and no version given twice.
+func TestTwoThatBothThinkTheyLead(t *testing.T) {
+	keys := store.NewMemory() // whose every user leads
+	first := begin(t, "n1", keys, nil, "127.0.0.1:0", file(t, nil))
+	second := begin(t, "n2", keys, nil, "127.0.0.1:0", file(t, nil))
+	first.start(t, StartWish{To: "new"})
+	shares, step := map[uint64]float64{}, -1
+	second.reaches(t, func(s Status) bool {
+		var r mover.Record
+		require.NoError(t, json.Unmarshal(keys.Get(currentKey).Data, &r))
+		if share, ok := shares[r.Version]; ok && !r.State.Over() {
+			require.Equal(t, share, r.Shares.Share, "version %d", r.Version)
+		}
+		shares[r.Version] = r.Shares.Share
+		require.LessOrEqual(t, r.Step, step+1)
+		step = r.Step
+		return s.Move.State == mover.Done
+	})
+	require.Len(t, keys.List(historyPrefix), 1)
+}
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -234,7 +234,7 @@
 	}
 	command := exec.Command(s.Program, "serve", "--config", file)
 	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGTERM, Setpgid: true}
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is for the stage, which then ends the daemon
 	if err := command.Start(); err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
