--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -36,8 +36,8 @@
 	raw, err := os.ReadFile("../../deploy/operator.toml")
 	require.NoError(t, err)
 	bad := filepath.Join(t.TempDir(), "bad.toml")
-	for from, key := range map[string]string{`worth = 2.0`: "class[0].worth:", `[store]`: "log.level:"} {
-		to := map[string]string{`worth = 2.0`: `worth = -2.0`, `[store]`: "[log]\nlevel = \"loud\"\n[store]"}[from]
+	for from, key := range map[string]string{`worth = 2.0`: "class[0].worth:", `level = "info"`: "log.level:"} {
+		to := map[string]string{`worth = 2.0`: `worth = -2.0`, `level = "info"`: `level = "loud"`}[from]
 		require.NoError(t, os.WriteFile(bad, []byte(strings.Replace(string(raw), from, to, 1)), 0o600))
 		_, errs, code := run("check", bad)
 		require.Equal(t, Faulty, code)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -150,6 +150,20 @@
 }
 
 // The leader's shared settings stand in the store.
+// The level of the log changes while the program runs; the form is that of its start.
+func TestLogLevel(t *testing.T) {
+	level := zap.NewAtomicLevel()
+	log := newLog(deployment{operator: &config.Operator{}}.logging(), level)
+	require.False(t, log.Core().Enabled(zap.DebugLevel))
+	cfg, err := config.ReadOperator(operatorFile(t, "127.0.0.1:1", "127.0.0.1:2"))
+	require.NoError(t, err)
+	require.Equal(t, logging{level: zap.InfoLevel}, fromOperator(cfg).logging())
+	cfg.Log.Level, cfg.Log.Form = "debug", "console"
+	require.Equal(t, logging{zap.DebugLevel, true}, fromOperator(cfg).logging())
+	level.SetLevel(fromOperator(cfg).logging().level)
+	require.True(t, log.Core().Enabled(zap.DebugLevel))
+}
+
 func TestAgree(t *testing.T) {
 	cfg, err := config.ReadOperator(operatorFile(t, "127.0.0.1:1", "127.0.0.1:2"))
 	require.NoError(t, err)
--- a/internal/daemon/movesparts.go
+++ b/internal/daemon/movesparts.go
@@ -18,6 +18,8 @@
 // Version is the daemon's own. A build may set it.
 var Version = "0.3.0-dev"
 
+const awaitStore = 5 * time.Second // at the start, for a store that may know of a move
+
 // poolsPart divides flows among pools, where the file has any.
 func poolsPart(a *assembly) (part, error) {
 	if a.operator.PoolSet.Len() == 0 {
@@ -47,7 +49,7 @@
 			return token
 		}})
 	a.calls = append(a.calls, a.mover.Calls()...)
-	return part{name: "moves", run: a.mover.Run,
+	return part{name: "moves", start: func() { a.mover.Await(awaitStore) }, run: a.mover.Run,
 		check: func(to deployment) error { return a.tracker.Check(to.operator) },
 		reload: func(to deployment) {
 			select {
--- a/internal/moves/story_test.go
+++ b/internal/moves/story_test.go
@@ -302,6 +302,32 @@
 	n.reaches(t, func(s Status) bool { return s.Move.State == mover.Done })
 }
 
+// A node whose store is on disk has the recorded shares before it assigns any flow.
+func TestAStoreThatRestartsIsWaitedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	members := []store.Member{{ID: "n1", Address: l.Addr().String()}}
+	dir := t.TempDir()
+	open := func(l net.Listener) *store.Raft {
+		keys, err := store.OpenRaft(store.RaftOptions{ID: "n1", Listener: l, Listen: members[0].Address, Dir: dir, Members: members, LogTo: io.Discard,
+			Heartbeat: 300 * time.Millisecond})
+		require.NoError(t, err)
+		return keys
+	}
+	keys := open(l)
+	require.Eventually(t, func() bool { _, ok := keys.Leads(); return ok }, patient, 5*time.Millisecond)
+	raw, err := json.Marshal(mover.Record{ID: "m-1", State: mover.Done, Shares: pool.Shares{Moved: map[string]string{"old": "new"}}, Version: 9})
+	require.NoError(t, err)
+	_, err = keys.Write(t.Context(), store.Op{Key: currentKey, Data: raw})
+	require.NoError(t, err)
+	require.NoError(t, keys.Close())
+	keys = open(nil)
+	defer keys.Close()
+	tr := NewTracker(file(t, nil), zap.NewNop())
+	New(Options{Name: "n1", Tracker: tr, Store: keys, Log: zap.NewNop()}).Await(patient)
+	require.Equal(t, 2, tr.Assign(&standpoint.Request{Session: 1}))
+}
+
 func TestAWorsePoolIsLeftAndTheHistorySaysWhy(t *testing.T) {
 	n := alone(t, file(t, nil))
 	first := n.start(t, StartWish{To: "new", By: "operator", Note: "build 118"})
