--- a/router.go
+++ b/router.go
@@ -575,23 +575,23 @@
 
 // options predicts for every engine that may be used.
 func (r *Router) options(q *request, wide bool) []option {
-	all := make([]option, 0, len(r.ready))
+	some := make([]candidate, 0, len(r.ready))
 	ignore := r.sharedTrouble()
 	aim, c := r.aim(q), r.class(q)
 	left := aim - seconds(r.now-q.at)
 	for _, e := range r.ready {
 		if r.mayUse(q, e) && r.coldRoom(e) && !r.shut(e, ignore) {
-			all = append(all, option{e: e, match: r.match(q, e), rank: rank(q.key(), e)})
+			some = append(some, candidate{e, r.match(q, e), rank(q.key(), e)})
 		}
 	}
 	if len(q.attempts) > 0 { // not again where it failed, while there is another
-		all = prefer(all, func(e *engine) bool { return !q.tried(e) })
+		some = prefer(some, func(e *engine) bool { return !q.tried(e) })
 	}
 	if q.Pool != 0 { // a pool in which nothing will do falls over to the others at once
-		all = prefer(all, func(e *engine) bool { return e.Pool == q.Pool })
+		some = prefer(some, func(e *engine) bool { return e.Pool == q.Pool })
 	}
 	home := unit(mix(q.key(), prefixSalt)) >= r.spill()
-	slices.SortStableFunc(all, func(a, b option) int {
+	slices.SortStableFunc(some, func(a, b candidate) int {
 		if near := r.near(a.e); home && near != r.near(b.e) {
 			if near {
 				return -1
@@ -601,15 +601,13 @@
 		return cmp.Compare(b.rank, a.rank)
 	})
 	// The more of the traffic this gateway sees, the more of the fleet it can tell apart.
-	n, scored := 0, max(sampleSize, len(all)/max(1, r.set.Balancers))
-	for i := range all {
-		if i < scored || all[i].match >= gateMatch || wide {
-			all[n] = all[i]
-			all[n].home = i == 0
-			n++
+	scored := max(sampleSize, len(some)/max(1, r.set.Balancers))
+	all := make([]option, 0, scored)
+	for i, c := range some {
+		if i < scored || c.match >= gateMatch || wide {
+			all = append(all, option{e: c.e, match: c.match, home: i == 0})
 		}
 	}
-	all = all[:n]
 	for i := range all {
 		o := &all[i]
 		if o.home && q.Session != 0 {
@@ -632,12 +630,12 @@
 	return all
 }
 
-// prefer keeps the options that the test lets through, or all where it lets none through.
-func prefer(all []option, test func(*engine) bool) []option {
-	if !slices.ContainsFunc(all, func(o option) bool { return test(o.e) }) {
+// prefer keeps the candidates that the test lets through, or all where it lets none through.
+func prefer(all []candidate, test func(*engine) bool) []candidate {
+	if !slices.ContainsFunc(all, func(c candidate) bool { return test(c.e) }) {
 		return all
 	}
-	return slices.DeleteFunc(all, func(o option) bool { return !test(o.e) })
+	return slices.DeleteFunc(all, func(c candidate) bool { return !test(c.e) })
 }
 
 // spill is the part of the sessions that are ranked over all zones. Where crossing costs nothing that is
--- a/state.go
+++ b/state.go
@@ -101,12 +101,18 @@
 	cutAt      int64
 }
 
+// candidate is an engine that a request may go to, before anything is predicted of it.
+type candidate struct {
+	e     *engine
+	match float64 // share of the prompt that it is taken to keep
+	rank  float64
+}
+
 type option struct {
 	e          *engine
 	x          vec
 	match      float64
 	home       bool
-	rank       float64
 	ttft, wide float64 // predicted seconds to the first token; and widened by the measured error
 	pace       float64
 	slow       float64 // that widened likewise
