Moves: a new mover hears the members first; waiting calls leave nothing behind; the log stays small

Review of the whole found four faults. A member that has just begun to lead could pass a step before it had heard who is live; it now waits for all members, or 5 s. Each waiting call for news left a channel until the next change; there is one for all now. Every change of a reason wrote 10 KB to the store, of which Raft keeps 10,240 entries; reasons are written every 5 s and 1,024 entries kept. A member's control address that is not its own listener is named by its key.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -109,3 +109,46 @@
 		require.ErrorContains(t, err, c.key)
 	}
 }
+
+// What the file says of pools, moves, the log and the control interface.
+func TestGrowth(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/operator.toml")
+	require.NoError(t, err)
+	const pools = "[[pool]]\nname = \"old\"\nselect = 'version == \"v1\"'\n[[pool]]\nname = \"new\"\nselect = 'version == \"v2\"'\n"
+	const group = "[store]\nkind = \"raft\"\nid = \"a\"\n[[store.member]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\ncontrol = \"127.0.0.1:3\"\n" +
+		"[[store.member]]\nid = \"b\"\naddress = \"127.0.0.1:2\"\ncontrol = \"127.0.0.1:4\"\n"
+	const control = "[control]\nlisten = \"127.0.0.1:3\"\ntoken_file = \"t\"\n"
+	alone := string(raw)
+	together := alone[:strings.Index(alone, "[store]")] + group
+	read := func(text string) (Operator, error) {
+		path := filepath.Join(t.TempDir(), "operator.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return ReadOperator(path)
+	}
+	o, err := read(together + pools + control + "[move]\nsteps = [0.01, 1.0]\nhold = \"40s\"\n")
+	require.NoError(t, err)
+	require.Equal(t, 2, o.PoolSet.Len())
+	require.Equal(t, []float64{0.01, 1}, o.Plan.Steps)
+	require.Equal(t, 0.01, o.Plan.Trickle, "no more than the first step")
+	require.Equal(t, 0.9, o.Plan.Floor)
+	for _, c := range []struct{ text, key string }{
+		{alone + "[[pool]]\nname = \"old\"\nselect = 'version = \"v1\"'\n", "pool[0].select: column 9:"},
+		{alone + "[[pool]]\nselect = 'true'\n", "pool[0].name:"},
+		{alone + pools + "share = 0.5\n", "pool[1].share:"},
+		{alone + "[move]\nfloor = 2.0\n", "move.floor:"},
+		{alone + "[move]\nsteps = [0.5, 0.4]\n", "move.steps[1]:"},
+		{alone + "[move]\non_worse = \"pray\"\n", "move.on_worse:"},
+		{alone + "[control]\nlisten = \"0.0.0.0:1\"\n", "control.listen:"},
+		{alone + "[control]\nlisten = \"127.0.0.1:1\"\n", "control.token_file:"},
+		{alone + "[control]\nlisten = \"unix:\"\n", "control.listen:"},
+		{strings.Replace(alone, `level = "info"`, `level = "loud"`, 1), "log.level:"},
+		{strings.Replace(alone, `form = "json"`, `form = "xml"`, 1), "log.form:"},
+		{alone + "[move]\nwarm = \"2h\"\n", "move.warm:"},
+		{together + pools, "control.listen:"},
+		{strings.Replace(together, "control = \"127.0.0.1:4\"\n", "", 1) + pools + control, "store.member[1].control:"},
+		{strings.Replace(together, "control = \"127.0.0.1:3\"\n", "control = \"127.0.0.1:9\"\n", 1) + pools + control, "store.member[0].control:"},
+	} {
+		_, err := read(c.text)
+		require.ErrorContains(t, err, c.key)
+	}
+}
--- a/internal/config/growth.go
+++ b/internal/config/growth.go
@@ -104,6 +104,11 @@
 				return fmt.Errorf("store.member[%d].control: missing; members that move traffic between pools report to each other there", i)
 			}
 		}
+		for i, m := range o.Store.Members {
+			if m.ID == o.Store.ID && o.Control.Listen != "" && m.Control != o.Control.Listen {
+				return fmt.Errorf("store.member[%d].control: %q is not control.listen, %q, and this is its own member", i, m.Control, o.Control.Listen)
+			}
+		}
 		if o.Control.Listen == "" {
 			return errors.New("control.listen: missing; members that move traffic between pools report to each other there")
 		}
--- a/internal/mover/machine.go
+++ b/internal/mover/machine.go
@@ -38,7 +38,7 @@
 	deadPart     = 0.5 // of them failed
 	calmPart     = 0.5 // of an alarm: with more evidence than this a step is not passed
 	warmAnswers  = 5   // answers in time that the new pool must have given before the first step
-	progressTime = 5   // windows after which the record is written anyway, for whoever may take it over
+	progressTime = 5   // windows after which the record is written anyway, for whoever looks at it or takes it over
 )
 
 // Event is a line of a move's history.
@@ -160,7 +160,7 @@
 	m.rec.Granted = 0
 }
 
-// wait says why nothing happens. Only news of another kind counts as a change.
+// wait says why nothing happens.
 func (m *Machine) wait(form string, args ...any) { m.rec.Reason = fmt.Sprintf(form, args...) }
 
 // Command carries out an operator's wish. A wish that cannot be had changes nothing.
@@ -258,8 +258,8 @@
 		m.returning(&w)
 	}
 	m.since++
-	changed := m.rec.State != before.State || m.rec.Version != before.Version || m.rec.Reason != before.Reason ||
-		len(m.rec.Events) != len(before.Events) || m.since >= progressTime
+	changed := m.rec.State != before.State || m.rec.Version != before.Version || m.rec.Changed != before.Changed ||
+		m.since >= progressTime
 	if changed {
 		m.since = 0
 	}
--- a/internal/moves/actor.go
+++ b/internal/moves/actor.go
@@ -55,17 +55,18 @@
 	mail chan any
 
 	// The actor's alone.
-	version  uint64 // of the record that is followed, as the store counts
-	record   mover.Record
-	machine  *mover.Machine // while this node leads and a move is not over
-	written  uint64         // the store's version that the machine's record was written as
-	term     uint64
-	heard    map[string]*heard
-	unsent   []Report
-	sending  bool
-	sent     chan error
-	failing  string // the last failure of a report, so that it is logged once
-	watchers []chan struct{}
+	version uint64 // of the record that is followed, as the store counts
+	record  mover.Record
+	machine *mover.Machine // while this node leads and a move is not over
+	written uint64         // the store's version that the machine's record was written as
+	term    uint64
+	heard   map[string]*heard
+	unsent  []Report
+	sending bool
+	sent    chan error
+	failing string        // the last failure of a report, so that it is logged once
+	changed chan struct{} // closed at the next change of what is followed
+	tookUp  time.Time     // when this node began to lead
 }
 
 // heard is the latest of a node, and what it saw since the last window.
@@ -144,7 +145,8 @@
 	if o.Live == 0 {
 		o.Live = liveFor
 	}
-	return &Actor{Options: o, mail: make(chan any, mailMost), heard: map[string]*heard{}, sent: make(chan error, 1)}
+	return &Actor{Options: o, mail: make(chan any, mailMost), heard: map[string]*heard{}, sent: make(chan error, 1),
+		changed: make(chan struct{})}
 }
 
 // Await is called before Run. It gives a store that restarts the time to have its record again, so that no flow is
@@ -204,9 +206,7 @@
 	case look:
 		m.done <- a.status()
 	case listen:
-		c := make(chan struct{})
-		a.watchers = append(a.watchers, c)
-		m.done <- c
+		m.done <- a.changed
 	}
 }
 
@@ -229,10 +229,8 @@
 	}
 	a.version, a.record = v.Version, r
 	a.Tracker.Follow(r)
-	for _, c := range a.watchers {
-		close(c)
-	}
-	a.watchers = nil
+	close(a.changed)
+	a.changed = make(chan struct{})
 }
 
 // leads tells whether this node carries moves on, and takes up what is recorded when it begins to.
@@ -245,7 +243,9 @@
 	if !ok {
 		return false
 	}
-	a.term = term
+	if a.term != term {
+		a.term, a.tookUp = term, time.Now()
+	}
 	a.follow()
 	if a.machine == nil && a.record.State != "" && !a.record.State.Over() {
 		a.machine, a.written = mover.Resume(a.record), a.version
@@ -264,7 +264,9 @@
 	}
 	a.unsent = nil
 	a.hear(own)
-	if a.machine == nil {
+	// One that has just begun to lead does not know yet who is live: it waits to hear all members, or for as long as a
+	// silent one counts as live.
+	if a.machine == nil || len(a.heard) < len(a.Peers) && now.Sub(a.tookUp) < a.Live {
 		return
 	}
 	w := a.merge(now)
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -98,6 +98,9 @@
 	transport := raft.NewNetworkTransport(counted{listener, r.bytes}, poolSize, applyTime, o.LogTo)
 	config := raft.DefaultConfig()
 	config.LocalID, config.LogOutput, config.LogLevel = raft.ServerID(o.ID), o.LogTo, "WARN"
+	// A move's record is some 10 KB and written every few seconds; the library's own 10,240 entries behind a snapshot
+	// would come to 100 MB.
+	config.SnapshotThreshold, config.TrailingLogs = 2048, 1024
 	if o.Heartbeat > 0 {
 		config.HeartbeatTimeout, config.ElectionTimeout = o.Heartbeat, o.Heartbeat
 		config.LeaderLeaseTimeout = o.Heartbeat / 2
