DNS-SD: names, attributes, targets and a guard against lists that only look empty, as a pure package

Groundwork for discovery by DNS-SD records. Instance names go over the wire and back for drawn UTF-8 labels; TXT keys follow RFC 6763, SRV records RFC 2782, serials RFC 1982.

--- /dev/null
+++ b/internal/dnssd/dnssd_test.go
@@ -0,0 +1,102 @@
+package dnssd
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/miekg/dns"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261201") }
+
+func TestInstanceNames(t *testing.T) {
+	for full, label := range map[string]string{
+		`box-1._engine._tcp.hall-a.test.`:            "box-1",
+		`box\.1._engine._tcp.hall-a.test.`:           "box.1",
+		`hall\032a\ 7._engine._tcp.hall-a.test.`:     "hall a 7",
+		`\208\145\208\186._engine._tcp.hall-a.test.`: "Бк",
+		`a\\b._engine._tcp.hall-a.test.`:             `a\b`,
+	} {
+		got, behind, err := SplitInstance(full)
+		require.NoError(t, err)
+		require.Equal(t, label, got)
+		require.Equal(t, "_engine._tcp.hall-a.test.", behind)
+	}
+	for _, full := range []string{"", "box", `box\`, `\999.x.`, `.x.`, `\255\254.x.`} {
+		_, _, err := SplitInstance(full)
+		require.Error(t, err, full)
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		label := rapid.StringN(1, 20, 60).Draw(r, "label")
+		if !utf8.ValidString(label) || len(label) > 63 {
+			return
+		}
+		full, err := JoinInstance(label, "_engine._tcp.hall-a.test.")
+		require.NoError(t, err)
+		wire := make([]byte, 300)
+		end, err := dns.PackDomainName(full, wire, 0, nil, false)
+		require.NoError(t, err, full)
+		back, _, err := dns.UnpackDomainName(wire[:end], 0)
+		require.NoError(t, err)
+		got, _, err := SplitInstance(back)
+		require.NoError(t, err)
+		require.Equal(t, label, got, "over the wire and back")
+	})
+}
+
+func TestAttributes(t *testing.T) {
+	all := ParseTXT([]string{"Site=hall-a", "site=hall-b", "SITE", "empty=", "bare", "=x", "", "v=a=b", "bad\x07=1"})
+	require.Equal(t, Attributes{"site": {"hall-a", true}, "empty": {"", true}, "bare": {"", false}, "v": {"a=b", true}}, all)
+	var many []string
+	for i := range 1000 {
+		many = append(many, fmt.Sprintf("k%d=1", i))
+	}
+	require.Len(t, ParseTXT(many), 64)
+}
+
+func TestTargets(t *testing.T) {
+	a, b, c := Target{10, 3, 1, "a."}, Target{10, 1, 2, "b."}, Target{5, 0, 3, "c."}
+	got, err := Choose([]Target{a, b, c}, 0.5)
+	require.NoError(t, err)
+	require.Equal(t, c, got, "the lowest priority")
+	count := map[string]int{}
+	for i := range 1000 {
+		got, err = Choose([]Target{a, b}, float64(i)/1000)
+		require.NoError(t, err)
+		count[got.Host]++
+	}
+	require.Equal(t, map[string]int{"a.": 750, "b.": 250}, count)
+	_, err = Choose(nil, 0)
+	require.ErrorContains(t, err, "no SRV record")
+	_, err = Choose([]Target{{0, 0, 0, "."}}, 0)
+	require.ErrorIs(t, err, ErrWithdrawn)
+	_, err = Choose([]Target{{0, 0, 0, "a."}}, 0)
+	require.ErrorContains(t, err, "no port")
+}
+
+// One box that goes is believed at once; most of them at once only when that stays so, or the zone was changed.
+func TestGuard(t *testing.T) {
+	const second = int64(1e9)
+	g := Guard{Part: 0.5, Hold: 10 * second}
+	require.Equal(t, Believe, g.Judge(8, 7, false, 0))
+	require.Equal(t, Believe, g.Judge(1, 0, false, 0), "the only one")
+	require.Equal(t, Believe, g.Judge(8, 4, false, 0))
+	require.Equal(t, Wait, g.Judge(8, 0, false, second))
+	require.Equal(t, Wait, g.Judge(8, 0, false, 10*second))
+	require.Equal(t, Believe, g.Judge(8, 8, false, 10*second+1), "they are back")
+	require.Equal(t, Wait, g.Judge(8, 0, false, 12*second), "held anew")
+	require.Equal(t, Wait, g.Judge(8, 2, false, 21*second), "another loss")
+	require.Equal(t, Wait, g.Judge(8, 2, false, 30*second))
+	require.Equal(t, Believe, g.Judge(8, 2, false, 31*second))
+	require.Equal(t, Believe, g.Judge(8, 0, true, 40*second), "the zone's serial says so")
+	for _, s := range []struct {
+		a, b  uint32
+		newer bool
+	}{{2, 1, true}, {1, 2, false}, {1, 1, false}, {0, 1<<32 - 1, true}, {1<<32 - 1, 0, false}} {
+		require.Equal(t, s.newer, Newer(s.a, s.b), "%d %d", s.a, s.b)
+	}
+}
--- /dev/null
+++ b/internal/dnssd/guard.go
@@ -0,0 +1,49 @@
+package dnssd
+
+// Guard tells a real emptying of a list from one that only looks so. A server that lost its zone answers "no such
+// instances" as readily as one whose boxes were all withdrawn; taking the first for the second would stop all traffic.
+// One box that goes is believed at once, always: work to it must stop within 500 ms. Only when most of the boxes go in
+// one step is the news held for a while, and it is believed when it has stayed the same for that long, or when the
+// zone's own serial shows that somebody has changed it.
+type Guard struct {
+	// Part of the list that may go in one step without being held; 1 holds nothing.
+	Part float64
+	// Hold is how long a greater loss must stay the same, in nanoseconds.
+	Hold int64
+
+	held  bool
+	since int64
+	left  int
+}
+
+// Judgement is what a Guard makes of a list.
+type Judgement int
+
+const (
+	Believe Judgement = iota
+	Wait              // hold the last list, and ask again
+)
+
+// Judge is shown each whole answer: how many boxes were listed, how many of them are still, whether the zone's serial
+// has gone up since the list that is held, and the time in nanoseconds.
+func (g *Guard) Judge(listed, still int, changed bool, now int64) Judgement {
+	gone := listed - still
+	if listed == 0 || gone <= 1 || float64(gone) <= g.Part*float64(listed) || changed {
+		g.held = false
+		return Believe
+	}
+	if !g.held || g.left != still {
+		g.held, g.since, g.left = true, now, still
+	}
+	if now-g.since >= g.Hold {
+		g.held = false
+		return Believe
+	}
+	return Wait
+}
+
+// Held tells whether a loss is being held, and since when.
+func (g *Guard) Held() (since int64, held bool) { return g.since, g.held }
+
+// Newer compares two serials of a zone (RFC 1982): whether a is later than b.
+func Newer(a, b uint32) bool { return a != b && int32(a-b) > 0 }
