--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -162,6 +162,11 @@
 		Service string   `toml:"service"`
 		Domain  string   `toml:"domain"`
 		Refresh Duration `toml:"refresh"`
+		// Poll is how often it is asked whether anything has changed.
+		Poll Duration `toml:"poll"`
+		// GuardPart of the list may go in one step; a greater loss is held for Guard unless the zone's serial went up.
+		Guard     Duration `toml:"guard"`
+		GuardPart float64  `toml:"guard_part"`
 	} `toml:"entries"`
 	RealServers []RealServer `toml:"real_server"`
 	BatchServer struct {
@@ -267,6 +272,9 @@
 	or(&o.Module.ColdShare, 0.13)
 	or(&o.Entries.Source, "list")
 	or(&o.Entries.Refresh, Duration(2*time.Second))
+	or(&o.Entries.Poll, Duration(150*time.Millisecond))
+	or(&o.Entries.Guard, Duration(10*time.Second))
+	or(&o.Entries.GuardPart, 0.5)
 	or(&o.BatchServer.Gather, Duration(200*time.Millisecond))
 	or(&o.BatchServer.Lines, 100)
 	or(&o.BatchServer.Poll, Duration(500*time.Millisecond))
@@ -366,6 +374,12 @@
 		if o.Entries.Domain == "" {
 			return fmt.Errorf("entries.domain: missing")
 		}
+		if p := o.Entries.Poll; p < Duration(10*time.Millisecond) || p > Duration(time.Minute) {
+			return fmt.Errorf("entries.poll: %v is not from 10ms to 1m", time.Duration(p))
+		}
+		if g := o.Entries.GuardPart; !(g >= 0 && g <= 1) {
+			return fmt.Errorf("entries.guard_part: %g is not from 0 to 1", g)
+		}
 	case "list":
 		if len(o.RealServers) == 0 {
 			return fmt.Errorf("real_server: at least one is needed where entries.source is \"list\"")
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -11,6 +11,7 @@
 	"standpoint"
 	"standpoint/internal/batch"
 	"standpoint/internal/config"
+	"standpoint/internal/dnssd"
 	"standpoint/internal/edge"
 	"standpoint/internal/entries"
 	"standpoint/internal/node"
@@ -98,7 +99,8 @@
 	a.keep()
 	if cfg.Entries.Source == "dns-sd" {
 		a.source = &entries.Browser{Server: cfg.Entries.Server, Service: cfg.Entries.Service, Domain: cfg.Entries.Domain,
-			Refresh: time.Duration(cfg.Entries.Refresh), Names: entries.Names{Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
+			Poll: time.Duration(cfg.Entries.Poll), Refresh: time.Duration(cfg.Entries.Refresh),
+			Guard: dnssd.Guard{Part: cfg.Entries.GuardPart, Hold: int64(cfg.Entries.Guard)}, Names: entries.Names{Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
 			News: a.news, Log: a.log}
 	} else {
 		a.source = entries.Fixed{List: listed(cfg), News: a.news}
