--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -119,6 +119,8 @@
 		"[[store.member]]\nid = \"b\"\naddress = \"127.0.0.1:2\"\ncontrol = \"127.0.0.1:4\"\n"
 	const control = "[control]\nlisten = \"127.0.0.1:3\"\ntoken_file = \"t\"\n"
 	alone := string(raw)
+	const browse = "[[entries.browse]]\nserver = \"127.0.0.1:53\"\nservice = \"_engine._tcp\"\ndomain = \"hall-a.test\"\n"
+	dnssd := strings.Replace(alone, "[entries]\nsource = \"list\"\n", "", 1) + "[entries]\nsource = \"dns-sd\"\n"
 	together := alone[:strings.Index(alone, "[store]")] + group
 	read := func(text string) (Operator, error) {
 		path := filepath.Join(t.TempDir(), "operator.toml")
@@ -144,6 +146,12 @@
 		{strings.Replace(alone, `level = "info"`, `level = "loud"`, 1), "log.level:"},
 		{strings.Replace(alone, `form = "json"`, `form = "xml"`, 1), "log.form:"},
 		{alone + "[move]\nwarm = \"2h\"\n", "move.warm:"},
+		{dnssd + "[[entries.browse]]\nserver = \"127.0.0.1:53\"\ndomain = \"a.test\"\n", "entries.browse[0].service:"},
+		{dnssd + browse + browse, "entries.browse[1].domain:"},
+		{dnssd + browse + "site = \"hall-z\"\n", "entries.browse[0].site:"},
+		{dnssd + "poll = \"1ms\"\n" + browse, "entries.poll:"},
+		{dnssd + "guard_part = 7.0\n" + browse, "entries.guard_part:"},
+		{dnssd, "entries.server:"},
 		{together + pools, "control.listen:"},
 		{strings.Replace(together, "control = \"127.0.0.1:4\"\n", "", 1) + pools + control, "store.member[1].control:"},
 		{strings.Replace(together, "control = \"127.0.0.1:3\"\n", "control = \"127.0.0.1:9\"\n", 1) + pools + control, "store.member[0].control:"},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -104,6 +105,14 @@
 	ReturnEvery Duration  `toml:"return_every"`
 }
 
+// Browse is a service in a domain whose instances are real servers.
+type Browse struct {
+	Server  string `toml:"server"`
+	Service string `toml:"service"`
+	Domain  string `toml:"domain"`
+	Site    string `toml:"site"` // of instances that do not tell theirs
+}
+
 // BatchFields are the metadata keys, or the defaults, of what a line says about its flow.
 type BatchFields struct {
 	Class     string  `toml:"class"`
@@ -162,6 +171,8 @@
 		Service string   `toml:"service"`
 		Domain  string   `toml:"domain"`
 		Refresh Duration `toml:"refresh"`
+		// Browse has several services and domains; where there are none, the three keys above are the only one.
+		Browse []Browse `toml:"browse"`
 		// Poll is how often it is asked whether anything has changed.
 		Poll Duration `toml:"poll"`
 		// GuardPart of the list may go in one step; a greater loss is held for Guard unless the zone's serial went up.
@@ -365,15 +376,9 @@
 func (o *Operator) checkEntries() error {
 	switch o.Entries.Source {
 	case "dns-sd":
-		if err := loopback("entries.server", o.Entries.Server); err != nil {
+		if err := o.checkBrowse(); err != nil {
 			return err
 		}
-		if o.Entries.Service == "" {
-			return fmt.Errorf("entries.service: missing, such as \"_llm._tcp\"")
-		}
-		if o.Entries.Domain == "" {
-			return fmt.Errorf("entries.domain: missing")
-		}
 		if p := o.Entries.Poll; p < Duration(10*time.Millisecond) || p > Duration(time.Minute) {
 			return fmt.Errorf("entries.poll: %v is not from 10ms to 1m", time.Duration(p))
 		}
@@ -404,6 +409,40 @@
 	return nil
 }
 
+const browseMost = 32
+
+func (o *Operator) checkBrowse() error {
+	e := &o.Entries
+	prefix := func(i int) string { return fmt.Sprintf("entries.browse[%d].", i) }
+	if len(e.Browse) == 0 {
+		e.Browse = []Browse{{Server: e.Server, Service: e.Service, Domain: e.Domain}}
+		prefix = func(int) string { return "entries." }
+	}
+	if len(e.Browse) > browseMost {
+		return fmt.Errorf("entries.browse: %d services are more than %d", len(e.Browse), browseMost)
+	}
+	for i, b := range e.Browse {
+		if err := loopback(prefix(i)+"server", b.Server); err != nil {
+			return err
+		}
+		if b.Service == "" {
+			return fmt.Errorf("%sservice: missing, such as \"_engine._tcp\"", prefix(i))
+		}
+		if b.Domain == "" {
+			return fmt.Errorf("%sdomain: missing", prefix(i))
+		}
+		if b.Site != "" && !slices.Contains(o.Module.Zones, b.Site) {
+			return fmt.Errorf("%ssite: %q is not among module.zones", prefix(i), b.Site)
+		}
+		for k, other := range e.Browse[:i] {
+			if strings.EqualFold(other.Service, b.Service) && strings.EqualFold(strings.TrimSuffix(other.Domain, "."), strings.TrimSuffix(b.Domain, ".")) {
+				return fmt.Errorf("%sdomain: the same service and domain as entries.browse[%d]", prefix(i), k)
+			}
+		}
+	}
+	return nil
+}
+
 func (o *Operator) checkBatch() error {
 	b := &o.Batch
 	if !b.Enabled {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"standpoint"
 	"standpoint/internal/batch"
 	"standpoint/internal/config"
@@ -98,10 +100,7 @@
 	cfg := a.operator
 	a.keep()
 	if cfg.Entries.Source == "dns-sd" {
-		a.source = &entries.Browser{Server: cfg.Entries.Server, Service: cfg.Entries.Service, Domain: cfg.Entries.Domain,
-			Poll: time.Duration(cfg.Entries.Poll), Refresh: time.Duration(cfg.Entries.Refresh),
-			Guard: dnssd.Guard{Part: cfg.Entries.GuardPart, Hold: int64(cfg.Entries.Guard)}, Names: entries.Names{Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
-			News: a.news, Log: a.log}
+		a.source = browsers(cfg, a.news, a.log)
 	} else {
 		a.source = entries.Fixed{List: listed(cfg), News: a.news}
 	}
@@ -117,6 +116,22 @@
 	}}, nil
 }
 
+// browsers are the actors of all services that are browsed, in one.
+func browsers(cfg *config.Operator, news func(node.List), log *zap.Logger) *entries.Browsers {
+	all := &entries.Browsers{News: news}
+	e := &cfg.Entries
+	for _, b := range e.Browse {
+		one := &entries.Browser{Server: b.Server, Service: b.Service, Domain: b.Domain, Site: b.Site, Poll: time.Duration(e.Poll),
+			Refresh: time.Duration(e.Refresh), Guard: dnssd.Guard{Part: e.GuardPart, Hold: int64(e.Guard)},
+			Names: entries.Names{Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds}, Log: log.With(zap.String("domain", b.Domain))}
+		if len(e.Browse) > 1 { // the same name in two halls is two boxes
+			one.Suffix = "@" + strings.TrimSuffix(b.Domain, ".")
+		}
+		all.All = append(all.All, one)
+	}
+	return all
+}
+
 func corePart(a *assembly) (part, error) {
 	settings, _, seed := a.told()
 	a.core = node.New(node.Options{Settings: settings, Seed: seed, MaxFlows: a.limits.Flows(), Servers: a.fleet,
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -39,6 +39,8 @@
 // changes nothing that is known, and a bad record costs its own instance alone.
 type Browser struct {
 	Server, Service, Domain string
+	Site                    string // of instances that do not tell theirs; "" for the first
+	Suffix                  string // behind the instances' names, to tell several services' apart
 	Poll, Refresh           time.Duration
 	Guard                   dnssd.Guard
 	Names                   Names
@@ -198,10 +200,14 @@
 
 func (b *Browser) resolve(ctx context.Context, instance string) (node.ServiceEntry, error) {
 	e := node.ServiceEntry{Engine: standpoint.Engine{Size: 1}}
+	if b.Site != "" {
+		e.Zone = index(b.Names.Zones, b.Site)
+	}
 	var err error
 	if e.Name, _, err = dnssd.SplitInstance(instance); err != nil {
 		return e, err
 	}
+	e.Name += b.Suffix
 	records, err := b.query(ctx, instance, dns.TypeSRV)
 	if err != nil {
 		return e, err
--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -235,3 +235,35 @@
 	}
 	require.Equal(t, 10, r.questions()-before)
 }
+
+// Two halls, each a domain of its own at a server of its own. The same name in both is two boxes; a server that does
+// not answer costs its own hall alone.
+func TestSeveralHalls(t *testing.T) {
+	a, c := respond(t, hall("box-1", "box-2")), respond(t, hall("box-1"))
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0") // hears and never answers
+	require.NoError(t, err)
+	defer silent.Close()
+	news := make(chan node.List, 100)
+	all := &Browsers{News: func(l node.List) { news <- l }}
+	for i, r := range []*responder{a, c, {address: silent.LocalAddr().String()}} {
+		b := browser(r)
+		b.Suffix, b.Site = "@hall-"+string(rune('a'+i)), []string{"a", "b", "a"}[i]
+		all.All = append(all.All, b)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		all.Run(ctx)
+		close(ended)
+	}()
+	first := <-news
+	var told []string
+	for _, e := range first.Entries {
+		told = append(told, e.Name)
+	}
+	require.Equal(t, []string{"box-1@hall-a", "box-2@hall-a", "box-1@hall-b"}, told)
+	a.set(func(records map[string][]string) { records[service+" PTR"] = records[service+" PTR"][:1] })
+	require.Len(t, (<-news).Entries, 2)
+	cancel()
+	<-ended
+}
