--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -13,6 +13,7 @@
 	"standpoint"
 	"standpoint/internal/batch"
 	"standpoint/internal/config"
+	"standpoint/internal/control"
 	"standpoint/internal/dnssd"
 	"standpoint/internal/edge"
 	"standpoint/internal/entries"
@@ -104,6 +105,16 @@
 	} else {
 		a.source = entries.Fixed{List: listed(cfg), News: a.news}
 	}
+	a.calls = append(a.calls, control.Call{Pattern: "GET /v1/entries", Do: func(*http.Request, []byte) (any, error) {
+		if b, ok := a.source.(*entries.Browsers); ok {
+			return append([]entries.Origin{}, b.Origins()...), nil
+		}
+		all := []entries.Origin{}
+		for _, e := range a.keeper.Current() {
+			all = append(all, entries.Describe(e))
+		}
+		return all, nil
+	}})
 	start := func() {
 		if known, ok := a.keeper.Known(); ok && cfg.Entries.Source != "list" {
 			a.core.News(known)
--- a/internal/entries/browsers.go
+++ b/internal/entries/browsers.go
@@ -62,3 +62,12 @@
 	}
 	b.News(l)
 }
+
+// Origins are all instances of all services, those that are left out too.
+func (b *Browsers) Origins() []Origin {
+	var all []Origin
+	for _, one := range b.All {
+		all = append(all, one.Origins()...)
+	}
+	return all
+}
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,69 @@
 	serial  *uint32
 	looked  time.Time // when everything was last looked up
 	failing bool
+	changed map[string]time.Time // of an instance's entry, or of what is wrong with it
+	origins atomic.Pointer[[]Origin]
+}
+
+// Origin says where a service entry comes from, or why an instance is none.
+type Origin struct {
+	Name     string    `json:"name"`
+	Instance string    `json:"instance,omitempty"` // its full name; "" for one that the operator's file lists
+	Server   string    `json:"server,omitempty"`
+	Address  string    `json:"address,omitempty"`
+	State    string    `json:"state,omitempty"`
+	Started  time.Time `json:"started,omitzero"`
+	Changed  time.Time `json:"changed,omitzero"` // when this was last found different
+	Looked   time.Time `json:"looked,omitzero"`  // when the server last answered
+	Fault    string    `json:"fault,omitempty"`  // why it is left out
+}
+
+// Describe says where an entry comes from, as far as the entry itself tells.
+func Describe(e node.ServiceEntry) Origin {
+	o := Origin{Name: e.Name, Address: e.Address, State: [...]string{"ready", "draining", "gone"}[e.State]}
+	if e.ReadyAt > 0 {
+		o.Started = time.Unix(0, e.ReadyAt)
+	}
+	return o
+}
+
+// Origins are all instances as last found, those that are left out too. It may be called from anywhere.
+func (b *Browser) Origins() []Origin {
+	if all := b.origins.Load(); all != nil {
+		return *all
+	}
+	return nil
+}
+
+// note keeps the origins of what was found.
+func (b *Browser) note(now time.Time, entries map[string]node.ServiceEntry, faults map[string]string) {
+	changed := map[string]time.Time{}
+	at := func(instance string, same bool) time.Time {
+		if was, ok := b.changed[instance]; ok && same {
+			changed[instance] = was
+		} else {
+			changed[instance] = now
+		}
+		return changed[instance]
+	}
+	all := make([]Origin, 0, len(entries)+len(faults))
+	for instance, e := range entries {
+		o := Describe(e)
+		o.Changed = at(instance, reflect.DeepEqual(e, b.entries[instance]))
+		o.Instance, o.Server, o.Looked = instance, b.Server, now
+		all = append(all, o)
+	}
+	for instance, fault := range faults {
+		o := Origin{Name: instance, Instance: instance, Server: b.Server, Looked: now, Fault: fault}
+		if label, _, err := dnssd.SplitInstance(instance); err == nil {
+			o.Name = label + b.Suffix
+		}
+		o.Changed = at(instance, b.faults[instance] == fault)
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(x, y Origin) int { return strings.Compare(x.Name, y.Name) })
+	b.changed = changed
+	b.origins.Store(&all)
 }
 
 // Watch does nothing: the records are looked up all the time.
@@ -167,6 +231,7 @@
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
+	b.note(now, entries, faults)
 	b.entries, b.faults, b.listed = entries, faults, len(instances)
 	if whole {
 		b.serial = serial
--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -136,6 +136,14 @@
 	require.Contains(t, b.faults["lost."+service], "NXDOMAIN")
 	require.Contains(t, b.faults["odd."+service], "TXT share:")
 	require.Len(t, b.faults, 2)
+	why := map[string]Origin{}
+	for _, o := range b.Origins() {
+		why[o.Name] = o
+	}
+	require.Len(t, why, 5)
+	require.Contains(t, why["odd"].Fault, "TXT share:")
+	require.Equal(t, "draining", why["box-2"].State)
+	require.Equal(t, "box-1."+service, why["box-1"].Instance)
 }
 
 // A box that is withdrawn, or whose health or target changes, is told within 500 ms of the record's end at the server,
