--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -75,10 +75,18 @@
 }
 
 func respond(t *testing.T, records map[string][]string) *responder {
-	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	listener, err := net.Listen("tcp", packets.LocalAddr().String())
-	require.NoError(t, err)
+	var packets net.PacketConn
+	var listener net.Listener
+	for range 100 { // a port that is free for UDP may be taken for TCP
+		var err error
+		packets, err = net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		if listener, err = net.Listen("tcp", packets.LocalAddr().String()); err == nil {
+			break
+		}
+		require.NoError(t, packets.Close())
+	}
+	require.NotNil(t, listener)
 	r := &responder{records: records, silent: map[string]int{}, address: packets.LocalAddr().String()}
 	for _, s := range []*dns.Server{{PacketConn: packets, Handler: r.handle("udp")}, {Listener: listener, Handler: r.handle("tcp")}} {
 		up := make(chan struct{})
