A restarted node serves once its store has what it held; a move that is done shows 100%

Three programs over Raft on disk, the one that carried the move on killed: the move came to its end, and the killed node, started again, had no record for seconds, since a leader is known by heartbeats long before it sends entries to a member that was away. Ruled out: the raft library's applied index, which runs ahead of the keys.

--- a/internal/cli/live.go
+++ b/internal/cli/live.go
@@ -89,7 +89,7 @@
 			m.err = exit{Failed, fmt.Errorf("no move was ever started")}
 			return m, tea.Quit
 		}
-		m.trail = append(m.trail, m.status.Move.Shares.Share)
+		m.trail = append(m.trail, m.status.Move.InForce())
 		if n := len(m.trail) - trailMost; n > 0 {
 			m.trail = m.trail[n:]
 		}
@@ -135,8 +135,8 @@
 	if r.Paused {
 		state += ", paused"
 	}
-	full := int(r.Shares.Share*barWidth + 0.5)
-	fmt.Fprintf(&b, "%-12s %s%s %5.1f%%\n", state, strings.Repeat("█", full), faint.Render(strings.Repeat("░", barWidth-full)), 100*r.Shares.Share)
+	full := int(r.InForce()*barWidth + 0.5)
+	fmt.Fprintf(&b, "%-12s %s%s %5.1f%%\n", state, strings.Repeat("█", full), faint.Render(strings.Repeat("░", barWidth-full)), 100*r.InForce())
 	level := int(min(1, m.status.Evidence)*barWidth + 0.5)
 	fmt.Fprintf(&b, "%-12s %s%s\n", "evidence", warn.Render(strings.Repeat("█", level)), faint.Render(strings.Repeat("░", barWidth-level)))
 	fmt.Fprintf(&b, "%-12s %s\n", "trail", sparks(m.trail))
--- a/internal/cli/move.go
+++ b/internal/cli/move.go
@@ -180,7 +180,7 @@
 		if s.Move == nil {
 			return exit{Failed, errors.New("no move was ever started")}
 		}
-		line := fmt.Sprintf("%s %.1f%% %s", s.Move.State, 100*s.Move.Shares.Share, s.Move.Reason)
+		line := fmt.Sprintf("%s %.1f%% %s", s.Move.State, 100*s.Move.InForce(), s.Move.Reason)
 		if line != said {
 			said = line
 			if err := o.print(s, func() { fmt.Fprintln(o.Out, line) }); err != nil {
@@ -240,7 +240,7 @@
 	if r.Paused {
 		paused = ", paused"
 	}
-	fmt.Fprintf(w, "%s: %s to %s, %s%s at %.1f%%\n", r.ID, r.Plan.From, r.Plan.To, r.State, paused, 100*r.Shares.Share)
+	fmt.Fprintf(w, "%s: %s to %s, %s%s at %.1f%%\n", r.ID, r.Plan.From, r.Plan.To, r.State, paused, 100*r.InForce())
 	if r.Reason != "" {
 		fmt.Fprintf(w, "  %s\n", r.Reason)
 	}
--- a/internal/daemon/movesparts.go
+++ b/internal/daemon/movesparts.go
@@ -18,7 +18,7 @@
 // Version is the daemon's own. A build may set it.
 var Version = "0.3.0-dev"
 
-const awaitStore = 5 * time.Second // at the start, for a store that may know of a move
+const awaitStore = 15 * time.Second // at the start, for a store that may know of a move
 
 // poolsPart divides flows among pools, where the file has any.
 func poolsPart(a *assembly) (part, error) {
--- a/internal/mover/machine.go
+++ b/internal/mover/machine.go
@@ -138,7 +138,7 @@
 }
 
 func (m *Machine) tell(form string, args ...any) {
-	m.rec.Events = append(m.rec.Events, Event{m.now, m.rec.State, m.rec.Shares.Share, fmt.Sprintf(form, args...)})
+	m.rec.Events = append(m.rec.Events, Event{m.now, m.rec.State, m.rec.InForce(), fmt.Sprintf(form, args...)})
 	if n := len(m.rec.Events) - eventsMost; n > 0 {
 		m.rec.Events = slices.Delete(m.rec.Events, 1, 1+n) // the first says how it began
 	}
@@ -536,6 +536,14 @@
 	}
 }
 
+// InForce is the share of From's flows that To has now.
+func (r *Record) InForce() float64 {
+	if r.State == Done {
+		return 1
+	}
+	return r.Shares.Share
+}
+
 // Sign notes who started the move, and why.
 func (m *Machine) Sign(by, note string) { m.rec.By, m.rec.Note = by, note }
 
--- a/internal/mover/machine_test.go
+++ b/internal/mover/machine_test.go
@@ -140,7 +140,10 @@
 		n := until(t, m, s, 400, in(Done, Undone, Halted))
 		require.Equal(t, Done, m.Record().State, "seed %d: %s", seed, m.Record().Cause)
 		require.GreaterOrEqual(t, time.Duration(n)*WindowTime, m.Record().Plan.Least()-7*WindowTime)
-		require.Equal(t, map[string]string{"old": "new"}, m.Record().Shares.Moved)
+		r := m.Record()
+		require.Equal(t, map[string]string{"old": "new"}, r.Shares.Moved)
+		require.Equal(t, 1.0, r.InForce())
+		require.Equal(t, 1.0, r.Events[len(r.Events)-1].Share)
 	}
 }
 
--- a/internal/moves/actor.go
+++ b/internal/moves/actor.go
@@ -32,8 +32,7 @@
 	reportTime  = 2 * time.Second        // for one report
 	mailMost    = 64                     // wishes and reports that may wait
 	awaitEvery  = 10 * time.Millisecond
-	awaitLed    = 500 * time.Millisecond // in which a member applies what a leader that it has found tells it
-	backlogMost = 5                      // windows that a node keeps for a leader that does not answer
+	backlogMost = 5 // windows that a node keeps for a leader that does not answer
 )
 
 // Options are an actor's neighbours.
@@ -150,26 +149,16 @@
 }
 
 // Await is called before Run. It gives a store that restarts the time to have its record again, so that no flow is
-// assigned as though there had been no move: until the record is there, or a leader has been known for a while and
-// there is none, or most has passed.
+// assigned as though there had been no move: until the store has caught up with what it held, or most has passed.
 func (a *Actor) Await(most time.Duration) {
-	var led time.Time
-	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(awaitEvery) {
-		a.follow()
-		_, leads := a.Store.Leads()
-		switch {
-		case a.record.State != "" || leads:
-			a.follow()
-			return
-		case a.Store.Leader() == "":
-			led = time.Time{}
-		case led.IsZero():
-			led = time.Now()
-		case time.Since(led) >= awaitLed:
-			return
+	late, ok := a.Store.(interface{ CaughtUp() bool })
+	for end := time.Now().Add(most); ok && !late.CaughtUp(); time.Sleep(awaitEvery) {
+		if time.Now().After(end) {
+			a.Log.Warn("the store has not caught up; what it knows of moves holds, or else the file's shares")
+			break
 		}
 	}
-	a.Log.Warn("the store has no leader yet; the file's shares hold until it tells of a move")
+	a.follow()
 }
 
 // Run works until ctx ends.
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -314,10 +314,7 @@
 	}
 	last := s.report.Move
 	s.report.Move = r
-	p.Share, p.State, p.Evidence = r.Shares.Share, r.State, status.Evidence
-	if r.State == mover.Done {
-		p.Share = 1
-	}
+	p.Share, p.State, p.Evidence = r.InForce(), r.State, status.Evidence
 	if last == nil || last.State != r.State || last.Step != r.Step {
 		fmt.Fprintf(s.Out, "%5.0f s  %-9s %5.1f%%  %s\n", at.Seconds(), r.State, 100*p.Share, r.Reason)
 	}
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -42,11 +42,13 @@
 // Raft replicates the keys among the members of an operator's deployment.
 type Raft struct {
 	*keys
-	raft  *raft.Raft
-	term  atomic.Uint64 // of the leadership under which all earlier entries are known to be applied; 0: none
-	bolt  *boltdb.BoltStore
-	bytes *atomic.Int64
-	done  chan struct{}
+	raft    *raft.Raft
+	term    atomic.Uint64 // of the leadership under which all earlier entries are known to be applied; 0: none
+	bolt    *boltdb.BoltStore
+	bytes   *atomic.Int64
+	done    chan struct{}
+	held    uint64        // the last write on disk at the start
+	applied atomic.Uint64 // the last write that the keys have
 }
 
 // counted is a stream layer on a listener that counts what is written, for the cost on record.
@@ -133,10 +135,12 @@
 	if err != nil {
 		return fail(err)
 	}
-	if r.raft, err = raft.NewRaft(config, machine{r.keys}, log, stable, snapshots, transport); err != nil {
+	if r.raft, err = raft.NewRaft(config, machine{r.keys, &r.applied}, log, stable, snapshots, transport); err != nil {
 		return fail(err)
 	}
-	if !known {
+	if known {
+		r.held = lastCommand(log, snapshots)
+	} else {
 		var all raft.Configuration
 		for _, m := range o.Members {
 			all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(m.ID),
@@ -151,6 +155,25 @@
 	return r, nil
 }
 
+// lastCommand is the index of the last write in the log that no snapshot holds; 0: there is none.
+func lastCommand(log raft.LogStore, snapshots raft.SnapshotStore) uint64 {
+	first, err := log.FirstIndex()
+	if err != nil {
+		return 0
+	}
+	if all, err := snapshots.List(); err == nil && len(all) > 0 {
+		first = max(first, all[0].Index+1)
+	}
+	last, err := log.LastIndex()
+	for ; err == nil && last >= max(first, 1); last-- {
+		var l raft.Log
+		if err = log.GetLog(last, &l); err == nil && l.Type == raft.LogCommand {
+			return last
+		}
+	}
+	return 0
+}
+
 // follow keeps the term under which this member leads. A new leader leads for its callers only once a
 // barrier has shown that everything committed before is applied here.
 func (r *Raft) follow() {
@@ -177,6 +200,12 @@
 	return term, term != 0 && r.raft.State() == raft.Leader
 }
 
+// CaughtUp tells that a leader is known and that this member has applied at least all that its disk held at its start.
+// A leader that was without this member for long may take seconds to send it anything.
+func (r *Raft) CaughtUp() bool {
+	return r.Leader() != "" && r.applied.Load() >= r.held
+}
+
 // Leader implements Store.
 func (r *Raft) Leader() string {
 	_, id := r.raft.LeaderWithID()
@@ -225,7 +254,10 @@
 }
 
 // machine applies committed entries to the keys.
-type machine struct{ *keys }
+type machine struct {
+	*keys
+	at *atomic.Uint64
+}
 
 func (m machine) Apply(l *raft.Log) any {
 	var ops []Op
@@ -233,6 +265,7 @@
 		return written{err: err}
 	}
 	version, err := m.write(ops)
+	m.at.Store(l.Index)
 	return written{version, err}
 }
 
