Module: a process started anew is held apart from what is still out at the one before

Seen in reading: learn() wrote a new start over the same engine, so that a late report, a late answer and late errors of the old process counted for the new one (takeReport by name, alive/refused/suspect and remember by the same object), and its tokens in flight were taken for the new one's. TestAProcessStartedAnewIsItsOwn on the code before: "6000 tokens of the old one, 6 out"; with only the tokens mended, match 1 by what the old process had read. Ruled out: the cold budget and the table's entries of before, which were set apart already (coldAt, since). Lines at fault: router.go learn, onOutcome; state.go remember. Mended by one owner: the new process is an object of its own, attempts keep the one that they went to.

--- a/router.go
+++ b/router.go
@@ -161,11 +161,10 @@
 // learn takes in one entry. A new start forgets what was known of the process, its kept prompts too.
 func (r *Router) learn(entry Engine) {
 	e := r.engines[entry.Name]
-	if e == nil {
+	if e == nil || entry.ReadyAt != e.ReadyAt && entry.State == Ready {
+		// What is out at the process before stays with that one: its end tells nothing of this one.
 		e = &engine{hash: hashName(entry.Name), since: r.now, heard: r.now}
 		r.engines[entry.Name] = e
-	} else if entry.ReadyAt != e.ReadyAt && entry.State == Ready {
-		*e = engine{hash: e.hash, since: r.now, heard: r.now, out: e.out, tokens: e.tokens}
 	}
 	if entry.ReadyAt != e.ReadyAt {
 		e.coldTokens, e.coldAt = r.rng.Float64(), r.now
@@ -349,14 +348,14 @@
 }
 
 func (r *Router) onOutcome(ev *Outcome) {
-	if e := r.engines[ev.Engine]; e != nil && ev.Report != nil && r.set.Reports == ReportReplies {
-		r.takeReport(e, ev.Report)
-	}
 	q := r.open[ev.Request]
 	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.attempts) || !q.attempts[ev.Attempt].out {
 		return
 	}
 	a := q.attempts[ev.Attempt]
+	if ev.Report != nil && r.set.Reports == ReportReplies {
+		r.takeReport(a.e, ev.Report)
+	}
 	a.out, a.ran, a.e.out = false, !ev.Code.NeverRan(), a.e.out-1
 	a.e.tokens = max(0, a.e.tokens-q.PromptTokens)
 	if q.begun == a {
--- a/router_test.go
+++ b/router_test.go
@@ -732,3 +732,47 @@
 		t.Fatal("nothing was sent")
 	}
 }
+
+// A process that was started anew under the same name is neither trusted nor blamed for what is still out at the one
+// before: not its late report, nor what it kept, nor its silence, nor its errors; and it is cold.
+func TestAProcessStartedAnewIsItsOwn(t *testing.T) {
+	set := base()
+	set.SecondCopies, set.Balancers = false, 1
+	r := New(set, 1)
+	now := 100 * second
+	feed(r, now, ready("a", "b"))
+	send := func(id int64, start int64) *request {
+		q := &request{Request: *ask(id, now+9*second), at: now}
+		q.Prefix, q.PrefixTokens = 77, 500
+		r.now, r.open[id] = start, q
+		r.send(q, &option{e: r.engines["a"], x: vec{1}, ttft: 0.1})
+		return q
+	}
+	for id := int64(1); id <= 6; id++ {
+		send(id, now)
+	}
+	old := r.engines["a"]
+	now += second
+	feed(r, now, &EngineList{Kind: ListDelta, Engines: []Engine{{Name: "a", Size: 1, ReadyAt: now - 100*ms}}})
+	a := r.engines["a"]
+	if a.tokens != 0 || a.out != 0 || a.coldAt == 0 {
+		t.Fatalf("the new process has %v tokens of the old one, %d out, cold %v", a.tokens, a.out, a.coldAt)
+	}
+	report := &Report{Memory: 0.9, Unread: 50, Slots: 0.9}
+	now += second
+	feed(r, now, &FirstToken{Request: 1, Elapsed: 2 * second},
+		&Outcome{Request: 1, Last: true, Engine: "a", Kept: 900, Tokens: 50, Elapsed: 3 * second, Report: report})
+	for id, code := range map[int64]Code{2: ServerError, 3: ServerError, 4: ConnectionLost, 5: NoConnection} {
+		feed(r, now, &Outcome{Request: id, Last: true, Code: code, Engine: "a", Report: report})
+	}
+	tick(r, now+5*second)
+	q := &request{Request: *ask(1, now+9*second)}
+	q.Prefix, q.PrefixTokens = 77, 500
+	if a.reportAt != 0 || a.speed != 0 || a.drag.n != 0 || a.sour != 0 || a.suspect || r.match(q, a) != 0 {
+		t.Fatalf("told of the old process and held of the new: report %v, speed %v, drag %v, sour %v, suspect %v, match %v",
+			a.reportAt, a.speed, a.drag.n, a.sour, a.suspect, r.match(q, a))
+	}
+	if old.out != 1 || a.out != 0 {
+		t.Fatalf("%d out at the old process, %d at the new", old.out, a.out)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -238,7 +238,11 @@
 
 func (r *Router) kind(e *engine) int { return min(max(0, e.Kind), len(r.ttft)-1) }
 
+// remember notes what an engine keeps by now. What a process read that was replaced since is gone with it.
 func (r *Router) remember(q *request, e *engine, tokens float64) {
+	if r.engines[e.Name] != e {
+		return
+	}
 	if q.Session != 0 {
 		r.put(mix(q.Session, e.hash+sessionSalt), tokens)
 	}
@@ -257,6 +261,11 @@
 	return now-a.sent > max(overdueLeast, int64(overdueTimes*a.ttft*1e9))
 }
 
+// Awaits tells that a timer's token still means something; the others may be forgotten.
+func (r *Router) Awaits(token int64) bool {
+	return token == tokenTick || r.open[token/tokenStep] != nil
+}
+
 // Adjust takes on new settings. What was learned is kept, but for classes, kinds and tenants whose number has
 // changed: which of them is which is then not known.
 func (r *Router) Adjust(settings Settings) {
