Module: a shared beginning's length is believed for the request that tells it alone

Seen: prefix_len of one request was credited to all that name the same prefix: one tenant that says 60,000 opens the gate at a box for others (match 1 of a prompt that shares 400 of 1,000 tokens), one that says 0 takes their credit away. TestLyingPrefixLengths on the code before: match 1, and match 0. Ruled out: sessions, whose ids are the client's own. Lines at fault: router.go match, state.go remember. Honest clients tell the same length each time: for them nothing changes.

--- a/router.go
+++ b/router.go
@@ -683,7 +683,7 @@
 		tokens = r.look(mix(q.Session, e.hash+sessionSalt), e.since)
 	}
 	if q.Prefix != 0 && tokens < q.PrefixTokens {
-		tokens = max(tokens, r.look(mix(q.Prefix, e.hash+prefixSalt), e.since))
+		tokens = max(tokens, min(q.PrefixTokens, r.look(mix(q.Prefix, e.hash+prefixSalt), e.since)))
 	}
 	return min(1, tokens/q.PromptTokens)
 }
--- a/router_test.go
+++ b/router_test.go
@@ -776,3 +776,27 @@
 		t.Fatalf("%d out at the old process, %d at the new", old.out, a.out)
 	}
 }
+
+// What one request says of a shared beginning's length is not believed for another's.
+func TestLyingPrefixLengths(t *testing.T) {
+	set := base()
+	set.Balancers = 1
+	r := New(set, 1)
+	feed(r, second, ready("a"))
+	a := r.engines["a"]
+	with := func(length float64) *request {
+		q := &request{Request: *ask(1, 9*second)}
+		q.Session, q.Prefix, q.PrefixTokens = 0, 77, length
+		return q
+	}
+	honest := with(400)
+	r.remember(with(1000), a, 1000) // far more than the beginning has
+	if m := r.match(honest, a); m != 0.4 {
+		t.Fatalf("match %v of a prompt of 1,000 tokens that begins with 400 shared ones", m)
+	}
+	r.remember(honest, a, 1000)
+	r.remember(with(0), a, 1000) // takes nothing away
+	if m := r.match(honest, a); m != 0.4 {
+		t.Fatalf("match %v after another said that there is no beginning", m)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -247,7 +247,8 @@
 		r.put(mix(q.Session, e.hash+sessionSalt), tokens)
 	}
 	if q.Prefix != 0 {
-		r.put(mix(q.Prefix, e.hash+prefixSalt), q.PrefixTokens)
+		key := mix(q.Prefix, e.hash+prefixSalt)
+		r.put(key, max(q.PrefixTokens, r.look(key, e.since))) // another's word for a shorter one takes nothing away
 	}
 }
 
