Slow readers: no blame for the box, no pace learned from them, a bounded hold on its slot

Seen: the timer for a silent server ran on while the client was written to. A client that stopped reading for over 3 s had its stream cut (unexpected EOF in TestReaderThatPauses) and the box an error to its name; the time that it kept the stream waiting went into the learned token gap (0.076 s a token beside a slow reader, 0.020 without, TestHeldStreamsTeachNoPace) and into the judge of traffic moves; one that takes each event late but within 4 s held its place at the box without end (still held after 12 s, TestReaderThatDrips). Ruled out: answers of usual size, which the sockets' buffers hold whole; a write deadline that outlives its answer on a kept connection (net/http clears it: TestRefusalOnAKeptConnection). Lines at fault: realserver/server.go stream, edge.go connection.Event, node/core.go ended, router.go observeServed. Waits under 100 ms do not count: they may be this machine's own.

--- a/api.go
+++ b/api.go
@@ -175,6 +175,7 @@
 	Tokens  float64 // of the answer, with Served; 0: not told
 	Engine  string
 	Elapsed int64
+	Held    bool // the client was slow to take the answer: Elapsed says nothing of the engine
 	Report  *Report
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,11 +26,12 @@
 	readTime   = 2500 * time.Millisecond // in which a request must have come, head and body
 	idleTime   = 5 * time.Second         // for which an edge connection is kept between requests
 	headMost   = 16 << 10
-	tokenChars = 4                     // characters of a prompt's token
-	answerMost = 1 << 20               // tokens that may be asked for
-	spanMost   = time.Hour             // for which a client may say that it waits
-	writeTime  = 4 * time.Second       // in which a client must take an event
-	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
+	tokenChars = 4                      // characters of a prompt's token
+	answerMost = 1 << 20                // tokens that may be asked for
+	spanMost   = time.Hour              // for which a client may say that it waits
+	writeTime  = 4 * time.Second        // for which a client may keep its answer waiting, in all
+	waitLeast  = 100 * time.Millisecond // of that, what is not this machine's own
+	margin     = 10 * time.Millisecond  // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
 	chatTarget = "/v1/chat/completions"
 )
@@ -161,7 +162,7 @@
 	request standpoint.Request, body []byte) {
 	work := node.Work{Method: r.Method, Target: r.URL.RequestURI(), TraceID: r.Header.Get("X-Trace-Id"),
 		ContentType: r.Header.Get("Content-Type"), Body: body}
-	answer, err := f.Core.Serve(r.Context(), node.NewFlow(request, work, &connection{w, control}))
+	answer, err := f.Core.Serve(r.Context(), node.NewFlow(request, work, &connection{w: w, control: control}))
 	if err != nil {
 		answer = node.Answer{Kind: node.TurnedDown, Wait: busyWait}
 	}
@@ -297,6 +298,7 @@
 type connection struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	held    time.Duration // for which the client has kept its answer waiting
 }
 
 func (c *connection) Begin() error {
@@ -305,9 +307,16 @@
 	return nil
 }
 
-// Event writes and flushes at once: an event that waits in a buffer is late.
+// Event writes and flushes at once: an event that waits in a buffer is late. A client that does not read holds a place
+// at a real server meanwhile; the time that it may do so is one for the whole answer, or it could take it with each event.
 func (c *connection) Event(b []byte) error {
-	_ = c.control.SetWriteDeadline(time.Now().Add(writeTime))
+	from := time.Now()
+	defer func() {
+		if wait := time.Since(from); wait > waitLeast {
+			c.held += wait
+		}
+	}()
+	_ = c.control.SetWriteDeadline(from.Add(writeTime - c.held))
 	if _, err := c.w.Write(b); err != nil {
 		return err
 	}
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"standpoint"
 	"standpoint/internal/testpeer"
@@ -327,3 +329,93 @@
 		}
 	}
 }
+
+// A deadline for an answer's events does not outlive it: on a kept connection a refusal that comes later than the last
+// answer's events could wait is written all the same. net/http sees to that; nothing else here does.
+func TestRefusalOnAKeptConnection(t *testing.T) {
+	t.Parallel()
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Header.Get("X-Trace-Id") == "silent" {
+			<-r.Context().Done()
+			return
+		}
+		testpeer.Event(w, "x")
+		testpeer.Finish(w)
+	})))
+	c := n.Dial()
+	in := bufio.NewReader(c)
+	require.Equal(t, http.StatusOK, over(t, n, c, in, "first", "2000m"))
+	require.Equal(t, http.StatusServiceUnavailable, over(t, n, c, in, "silent", "4300m"))
+}
+
+// over sends a request on a connection that is there and reads its whole answer.
+func over(t *testing.T, n *testpeer.Node, c net.Conn, in *bufio.Reader, trace, wait string) int {
+	r := n.Chat(t.Context(), func(r *http.Request) {
+		r.Header.Set("X-Trace-Id", trace)
+		r.Header.Set("X-Expires-In", wait)
+	})
+	require.NoError(t, r.Write(c))
+	response, err := http.ReadResponse(in, r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	return response.StatusCode
+}
+
+// large is a server that streams more than all buffers on the way hold, and tells when it was done, or its stream ended.
+func large(t *testing.T, ended chan<- error) string {
+	event := strings.Repeat("x", 48<<10)
+	return testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for range 300 {
+			testpeer.Event(w, event)
+			if r.Context().Err() != nil {
+				break
+			}
+		}
+		testpeer.Finish(w)
+		ended <- r.Context().Err()
+	})
+}
+
+// A client that stops reading for a while gets its whole answer, and the server is not taken for a silent one.
+func TestReaderThatPauses(t *testing.T) {
+	t.Parallel()
+	seen, logs := observer.New(zap.InfoLevel)
+	n := testpeer.StartLogged(t, zap.New(seen), testpeer.Settings(), testpeer.Entry("s", large(t, make(chan error, 1))))
+	response, err := http.DefaultClient.Do(n.Chat(t.Context(), nil))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	time.Sleep(3300 * time.Millisecond) // longer than a server may be silent; the client's own pause is what is tested
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body[len(body)-100:]), "Endpoint-Load-Metrics")
+	require.Empty(t, logs.FilterMessage("attempt failed").All())
+}
+
+// A client that takes each event late, but just in time, holds its place at the server for a bounded time in all.
+func TestReaderThatDrips(t *testing.T) {
+	t.Parallel()
+	ended := make(chan error, 1)
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", large(t, ended)))
+	c := n.Dial()
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(16<<10))
+	require.NoError(t, n.Chat(t.Context(), nil).Write(c))
+	go func() {
+		piece := make([]byte, 128<<10)
+		for {
+			if _, err := io.ReadFull(c, piece); err != nil {
+				return
+			}
+			time.Sleep(300 * time.Millisecond) // the habit that is tested
+		}
+	}()
+	select {
+	case err := <-ended:
+		require.Error(t, err, "its stream was ended")
+	case <-time.After(12 * time.Second):
+		t.Fatal("the server is still held")
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -63,11 +63,11 @@
 	Result  Result
 	First   time.Duration // from the flow's arrival to its first event; 0: there was none
 	Own     time.Duration // likewise from the attempt's sending
-	Decode  time.Duration // from the first event to the last
+	Decode  time.Duration // from the first event to the last; 0: its client was slow to take it
 	Asked   bool          // given up by this node or its client: it says nothing of the server
 }
 
-// ErrBusy is returned for a flow beyond what the node may hold at once.
+// ErrBusy is returned for a flow beyond what the node, or the flow's tenant, may hold at once.
 var ErrBusy = errors.New("too many flows at once")
 
 // mailboxSize bounds the module's mailbox. Those who post wait for room; the module's actor itself only
@@ -118,6 +118,7 @@
 		a       *Attempt
 		r       Result
 		elapsed time.Duration
+		held    bool
 	}
 )
 
@@ -125,7 +126,10 @@
 	f := m.a.Flow
 	o := Observation{Request: &f.Request, Server: m.a.Server, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
 	if m.a.first > 0 {
-		o.First, o.Own, o.Decode = m.a.Sent.Add(m.a.first).Sub(f.arrived), m.a.first, m.elapsed-m.a.first
+		o.First, o.Own = m.a.Sent.Add(m.a.first).Sub(f.arrived), m.a.first
+		if !m.held {
+			o.Decode = m.elapsed - m.a.first
+		}
 	}
 	return o
 }
@@ -265,11 +269,13 @@
 			Elapsed: int64(m.elapsed)})
 	case ended:
 		m.a.out = false
+		m.held = m.r.Held > 0
 		if c.Pools != nil {
 			c.Pools.Ended(m.observation())
 		}
 		c.decide(&standpoint.Outcome{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg, Last: m.a.Flow.isOver(),
-			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Report: m.r.Report})
+			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Held: m.held,
+			Report: m.r.Report})
 		c.forget(m.a.Flow)
 	}
 }
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -133,6 +133,8 @@
 	Kept   float64
 	Tokens float64 // of the answer; 0: not told
 	Report *standpoint.Report
+	// Held is for how long in all the client kept the stream waiting; 0: it took events as they came.
+	Held time.Duration
 }
 
 // Context ends when the attempt is given up; its cause is one of the reasons above.
@@ -187,5 +189,5 @@
 		f.done <- Answer{Kind: kind}
 	}
 	f.mu.Unlock()
-	a.post(ended{a, r, time.Since(a.Sent)})
+	a.post(ended{a: a, r: r, elapsed: time.Since(a.Sent)})
 }
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -32,6 +32,7 @@
 	streamMost  = 16 << 20               // of a whole answer
 	drainMost   = 16 << 10               // of an answer that is no stream, to be able to keep its connection
 	drainTime   = 100 * time.Millisecond // in which that must have come
+	heldLeast   = 100 * time.Millisecond // from which a client counts as slow to take an event; less may be this machine
 	freshTries  = 2                      // further connections for a request that kept ones did not take
 	neverRan    = "X-Never-Ran"
 )
@@ -319,6 +320,7 @@
 	end := tail{report: parseReport(response.Header.Get(LoadHeader))}
 	buffer := make([]byte, 0, readSize)
 	size := 0
+	var held time.Duration
 	for {
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
@@ -342,15 +344,22 @@
 				quiet.Stop()
 				quiet = time.AfterFunc(streamQuiet, func() { cancel(errQuiet) })
 			}
+			// While the client takes it, it is not the server that is silent; nor is that time part of its pace.
+			quiet.Stop()
+			from := time.Now()
+			err := a.Event(buffer[:whole])
+			if wait := time.Since(from); wait > heldLeast {
+				held += wait
+			}
 			quiet.Reset(streamQuiet)
-			if err := a.Event(buffer[:whole]); err != nil {
+			if err != nil {
 				return node.Result{Code: standpoint.Cancelled}, err
 			}
 			buffer = append(buffer[:0], buffer[whole:]...)
 		}
 		switch {
 		case err == io.EOF && begun && end.done:
-			return node.Result{Code: standpoint.Served, Kept: end.kept, Tokens: end.tokens, Report: end.report}, nil
+			return node.Result{Code: standpoint.Served, Kept: end.kept, Tokens: end.tokens, Report: end.report, Held: held}, nil
 		case err == io.EOF:
 			return node.Result{Code: standpoint.ServerError, Report: end.report}, errors.New("the answer ends before its last event")
 		case err != nil:
--- a/router.go
+++ b/router.go
@@ -826,12 +826,12 @@
 
 func (r *Router) observeServed(a *attempt, ev *Outcome) {
 	took := seconds(ev.Elapsed)
-	if a.first != 0 {
+	if a.first != 0 && !ev.Held {
 		decode := took - seconds(a.first-a.sent)
 		r.observePace(a, max(0, decode), ev.Tokens)
 		r.decode.add(max(0, decode), gapSlow)
 		r.crowdUsual.add(r.crowd(), gapSlow)
-	} else if !r.class(a.q).Streamed {
+	} else if a.first == 0 && !r.class(a.q).Streamed {
 		r.observeTTFT(a, took)
 	}
 	r.correct(a, clamp(ev.Kept, 1e9))
--- a/router_test.go
+++ b/router_test.go
@@ -800,3 +800,31 @@
 		t.Fatalf("match %v after another said that there is no beginning", m)
 	}
 }
+
+// A stream that its client was slow to take says nothing of the engine's pace.
+func TestHeldStreamsTeachNoPace(t *testing.T) {
+	set := base()
+	set.SecondCopies, set.Balancers = false, 1
+	pace := func(held bool) float64 {
+		r := New(set, 1)
+		feed(r, second, ready("a"))
+		now := second
+		for id := int64(1); id <= 60; id++ {
+			now += 5 * second
+			send := feed(r, now, ask(id, now+9*second))
+			gap := 20 * ms
+			if loud := id%2 == 0; loud && held {
+				gap = 200 * ms
+			}
+			feed(r, now+100*ms, &FirstToken{Request: id, Elapsed: 100 * ms})
+			feed(r, now+4*second, &Outcome{Request: id, Last: true, Engine: send[0].Engine, Tokens: 50, Elapsed: 100*ms + 50*gap,
+				Held: gap > 20*ms})
+		}
+		o := option{e: r.engines["a"]}
+		r.predict(&request{Request: *ask(999, now+9*second)}, &o)
+		return o.pace
+	}
+	if quiet, loud := pace(false), pace(true); loud > 1.2*quiet {
+		t.Fatalf("%.4f s a token beside a slow reader, %.4f without", loud, quiet)
+	}
+}
