--- /dev/null
+++ b/internal/node/core_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"standpoint"
+)
+
+// held are real servers that take every attempt and hold it until it is given up.
+type held struct{ sent chan *Attempt }
+
+func (held) Update(List) {}
+func (h held) Send(a *Attempt) bool {
+	h.sent <- a
+	go func() {
+		<-a.Context().Done()
+		a.End(Result{Code: standpoint.Cancelled})
+	}()
+	return true
+}
+
+type quiet struct{}
+
+func (quiet) Watch() {}
+
+func start(ctx context.Context, tenants, most int) (*Core, held) {
+	s := standpoint.Settings{Balancers: 1, MaxAttempts: 3, Tick: 1e6, Cancel: true, Kinds: 1, Tenants: make([]standpoint.Tenant, tenants),
+		Classes: []standpoint.Class{{Streamed: true, TTFTAim: 1e9, Deadline: 10e9, Worth: 1}}}
+	h := held{make(chan *Attempt, 20_000)}
+	c := New(Options{Settings: s, Seed: 1, MaxFlows: most, Servers: h, Entries: quiet{}, Log: zap.NewNop()})
+	c.News(List{Kind: standpoint.ListFull, Entries: []ServiceEntry{{Address: "127.0.0.1:1", Engine: standpoint.Engine{Name: "s", Size: 1}}}})
+	go c.Run(ctx)
+	return c, h
+}
+
+func flow(c *Core, tenant int, wait time.Duration) *Flow {
+	return NewFlow(standpoint.Request{Tenant: tenant, PromptTokens: 10, MaxTokens: 10, Expires: c.Expires(time.Now(), wait)}, Work{}, nil)
+}
+
+// A tenant that holds its flows open leaves places for the others. Without the bound, as where there is one tenant, it
+// has them all.
+func TestALoudTenantLeavesPlaces(t *testing.T) {
+	for tenants, want := range map[int]int{2: 4, 1: 8} {
+		c, h := start(t.Context(), tenants, 8)
+		for range want {
+			go c.Serve(t.Context(), flow(c, 0, time.Minute))
+			<-h.sent
+		}
+		_, err := c.Serve(t.Context(), flow(c, 0, time.Second))
+		require.ErrorIs(t, err, ErrBusy)
+		if tenants > 1 {
+			go c.Serve(t.Context(), flow(c, 1, time.Minute))
+			<-h.sent
+		}
+	}
+}
