Core: timers of flows that are over are dropped, so that far deadlines cannot fill memory

Seen: each request leaves a timer until its deadline, which a client may put up to an hour away: 10,001 timers after 10,000 flows that were over at once (TestTimersOfFlowsThatAreOver); at 500 a second 1.8 million. Ruled out: the module's own tables (checkBounded). Lines at fault: node/core.go carryOut. After: at most twice those that something waits for, or 2,048.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +75,9 @@
 // ever hands on without waiting, so it always comes back to empty it.
 const mailboxSize = 1024
 
+// timersLeast is how many timers there may be before those are looked for that nothing waits for any more.
+const timersLeast = 1024
+
 // handBackWait is when a client should come again whose flow was handed back; by then it finds another node.
 const handBackWait = 300 * time.Millisecond
 
@@ -96,6 +100,7 @@
 	stopped chan struct{}
 	flows   map[int64]*Flow
 	timers  timerHeap
+	thin    int // timers from which those are dropped that nothing waits for
 	actions []standpoint.Action
 	pending []standpoint.Event // events the core itself owes the module
 	nextID  int64
@@ -334,6 +339,11 @@
 func (c *Core) carryOut(a standpoint.Action) {
 	switch a.Kind {
 	case standpoint.Timer:
+		if len(c.timers) >= max(c.thin, timersLeast) {
+			c.timers = slices.DeleteFunc(c.timers, func(t timer) bool { return !c.router.Awaits(t.token) })
+			heap.Init(&c.timers)
+			c.thin = 2 * len(c.timers)
+		}
 		heap.Push(&c.timers, timer{c.clock() + a.Wait, a.Token})
 	case standpoint.Subscribe:
 		c.Entries.Watch()
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -59,3 +59,19 @@
 		}
 	}
 }
+
+// Flows that came with far deadlines and are over leave no timers behind.
+func TestTimersOfFlowsThatAreOver(t *testing.T) {
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	c, h := start(ctx, 1, 10)
+	for range 10_000 {
+		ctx, leave := context.WithCancel(t.Context())
+		go func() { <-h.sent; leave() }()
+		_, err := c.Serve(ctx, flow(c, 0, time.Hour))
+		require.NoError(t, err)
+	}
+	end()
+	<-c.Stopped()
+	require.LessOrEqual(t, len(c.timers), 2*timersLeast)
+}
