A request that a real server finds wrong is answered with that, and blames no server

Seen: any answer but 200 was an error of the server: a request that every box answers with 400, 413 or 422 was sent three times and left the boxes out one by one, for all tenants (TestRequestsThatServersReject: 503 in place of 422, and attempts at both). Ruled out: the platform, whose engines answer so only for ids that no client sent. Lines at fault: realserver/server.go once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -175,6 +175,8 @@
 			w.Header().Set("Retry-After", strconv.FormatFloat(answer.Wait.Seconds(), 'f', 3, 64))
 		}
 		refuse(w, http.StatusServiceUnavailable, "turned down; trying again is harmless")
+	case node.Rejected:
+		refuse(w, answer.Status, "a real server found the request itself wrong")
 	default:
 		refuse(w, http.StatusBadGateway, "failed")
 	}
--- /dev/null
+++ b/internal/edge/fuzz_test.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"standpoint"
+	"standpoint/internal/config"
+	"standpoint/internal/node"
+)
+
+// Whatever bytes a client sends, what reaches the module is within its bounds, or a fault that says what is wrong.
+func FuzzRequest(f *testing.F) {
+	const head = "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nX-Trace-Id: a\r\nX-Qos: chat\r\nX-Customer: acme\r\nX-Object: 7f\r\n"
+	for _, more := range []string{
+		"X-Expires-In: 4800m\r\nX-Props: prefix=5c,prompt_len=5120,prefix_len=2048,max_out=800\r\nContent-Length: 15\r\n\r\n{\"messages\":[]}",
+		"X-Expires-In: 1u\r\nX-Props: prompt_len=1e309,max_out=0x1p-2,=,,prefix\r\nContent-Length: 2\r\n\r\n{}",
+		"X-Expires-In: 9223372036854775807m\r\nX-Props: prompt_len=NaN\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"X-Expires-In: 10m\r\nX-Second-Try: again\r\nX-Props: prompt_len=65536,prefix_len=65536\r\nContent-Length: 40\r\n\r\n{\"messages\":[[[[]]]],\"max_tokens\":-1e300}",
+	} {
+		f.Add([]byte(head + more))
+	}
+	core := node.New(node.Options{Settings: standpoint.Settings{}, MaxFlows: 1, Log: zap.NewNop()})
+	front := &Front{Core: core, Names: config.Names{Classes: []string{"chat"}, Tenants: []string{"acme"}}, Log: zap.NewNop()}
+	front.Rename(front.Names)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(raw)))
+		if err != nil {
+			return
+		}
+		began := time.Now()
+		q, err := front.decode(r, began)
+		var bad *fault
+		if err != nil {
+			if !errors.As(err, &bad) || bad.status < 400 || bad.text == "" {
+				t.Fatalf("%v", err)
+			}
+			return
+		}
+		_, _ = readBody(httptest.NewRecorder(), r)
+		for _, v := range []float64{q.PromptTokens, q.PrefixTokens, q.MaxTokens} {
+			if math.IsNaN(v) || v < 0 || v > answerMost {
+				t.Fatalf("%+v", q)
+			}
+		}
+		if wait := q.Expires - core.Expires(began, 0); wait > int64(spanMost) || wait < -int64(margin) {
+			t.Fatalf("expires in %v", time.Duration(wait))
+		}
+	})
+}
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -419,3 +419,36 @@
 		t.Fatal("the server is still held")
 	}
 }
+
+// What a real server finds wrong with a request itself is the client's answer: no second server is asked, and none is
+// left out for it.
+func TestRequestsThatServersReject(t *testing.T) {
+	var rejected, served atomic.Int32
+	server := func(w http.ResponseWriter, r *http.Request) {
+		if raw, _ := io.ReadAll(r.Body); strings.Contains(string(raw), "poison") {
+			rejected.Add(1)
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return
+		}
+		served.Add(1)
+		testpeer.Event(w, "x")
+		testpeer.Finish(w)
+	}
+	seen, logs := observer.New(zap.InfoLevel)
+	n := testpeer.StartLogged(t, zap.New(seen), testpeer.Settings(), testpeer.Entry("a", testpeer.Server(t, server)), testpeer.Entry("b", testpeer.Server(t, server)))
+	const poison = `{"messages":["poison"]}`
+	for range 10 {
+		status, _, said, _ := n.Do(n.Chat(t.Context(), func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(poison)), int64(len(poison))
+		}))
+		require.Equal(t, http.StatusUnprocessableEntity, status)
+		require.Contains(t, said, "request itself")
+	}
+	require.EqualValues(t, 10, rejected.Load(), "one attempt each")
+	for range 10 {
+		status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.EqualValues(t, 10, served.Load())
+	require.Len(t, logs.FilterMessage("attempt failed").All(), 0)
+}
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -31,12 +31,15 @@
 	TurnedDown                   // refused: trying again is harmless
 	Failed
 	ClientGone
+	Rejected // by a real server, for what the request itself is: no other would take it
 )
 
-// Answer is a flow's one final answer. Wait, if not 0, is when a client turned down should come back.
+// Answer is a flow's one final answer. Wait, if not 0, is when a client turned down should come back; Status is the
+// real server's, of one rejected.
 type Answer struct {
-	Kind AnswerKind
-	Wait time.Duration
+	Kind   AnswerKind
+	Wait   time.Duration
+	Status int
 }
 
 // Reasons for which an attempt is given up; the last two may come after its first event.
@@ -135,6 +138,9 @@
 	Report *standpoint.Report
 	// Held is for how long in all the client kept the stream waiting; 0: it took events as they came.
 	Held time.Duration
+	// Rejected, if not 0, is the status by which the server found the request itself wrong. It speaks against the
+	// request alone, whatever the code, and is the flow's answer.
+	Rejected int
 }
 
 // Context ends when the attempt is given up; its cause is one of the reasons above.
@@ -188,6 +194,10 @@
 		}
 		f.done <- Answer{Kind: kind}
 	}
+	if r.Rejected != 0 && f.claimed == nil && !f.over {
+		f.over = true
+		f.done <- Answer{Kind: Rejected, Status: r.Rejected}
+	}
 	f.mu.Unlock()
 	a.post(ended{a: a, r: r, elapsed: time.Since(a.Sent)})
 }
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -200,6 +201,10 @@
 	}
 }
 
+// ofRequest are the statuses that say that the request itself is wrong. Another server would say the same: it is not
+// sent again, and the server is not blamed for what one client sends.
+var ofRequest = []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity}
+
 var (
 	errQuiet   = errors.New("the stream fell silent")
 	errNoEvent = errors.New("no event behind the head of the answer")
@@ -263,8 +268,11 @@
 		return result, kept, err
 	}
 	result = node.Result{Code: standpoint.ServerError, Report: parseReport(response.Header.Get(LoadHeader))}
-	if response.Header.Get(neverRan) == "1" {
+	switch {
+	case response.Header.Get(neverRan) == "1":
 		result.Code = standpoint.TurnedAway
+	case slices.Contains(ofRequest, response.StatusCode):
+		result.Code, result.Rejected = standpoint.Cancelled, response.StatusCode
 	}
 	// So that the connection can be kept; but a body that does not come must not hold up the next attempt.
 	defer time.AfterFunc(drainTime, func() { cancel(errQuiet) }).Stop()
