Real servers: another process, or kind, under the same name gets links of its own

Seen: links kept to a process went on being used after its successor had come to the same address, and the rest that it trusted them for (TestLinksOfTheProcessBefore: one connection for both); a box of another kind under the same name was spoken to in the old way (TestAnotherKindUnderTheSameName). Ruled out: attempts that are out, which keep their transport to the end. Lines at fault: realserver/server.go Update, run; stream.go usage.

--- a/internal/realserver/batchserver.go
+++ b/internal/realserver/batchserver.go
@@ -87,7 +87,7 @@
 					flush()
 				}
 			case moved:
-				address = string(m)
+				address = m.address
 			case draining, gone:
 				_, leaving = m.(gone)
 				for _, a := range waiting { // not uploaded: never ran
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -75,8 +75,13 @@
 			}
 			continue
 		}
+		if e.State != standpoint.Gone && e.Batch != s.batch { // another kind of server under the same name
+			s.tell(gone{})
+			f.servers[e.Name] = f.start(e)
+			continue
+		}
 		if e.Address != "" {
-			s.tell(moved(e.Address))
+			s.tell(moved{e.Address, e.ReadyAt})
 		}
 		if e.State == standpoint.Draining {
 			s.tell(draining{})
@@ -91,13 +96,13 @@
 }
 
 func (f *Fleet) start(e node.ServiceEntry) actor {
-	a := actor{name: e.Name, mail: make(chan any, mailboxSize), log: f.Log}
+	a := actor{name: e.Name, batch: e.Batch, mail: make(chan any, mailboxSize), log: f.Log}
 	if e.Batch {
 		s := &batchServer{Options: f.Options, actor: a, client: &http.Client{Transport: transport(f.Options, &keep{})},
 			out: map[*parcel]bool{}, ended: make(chan *parcel)}
 		go s.run(e.Address)
 	} else {
-		go (&server{f.Options, a, &keep{}}).run(e.Address)
+		go (&server{f.Options, a, &keep{}}).run(moved{e.Address, e.ReadyAt})
 	}
 	return a
 }
@@ -122,13 +127,18 @@
 
 // actor is the mailbox of one real server.
 type actor struct {
-	name string
-	mail chan any
-	log  *zap.Logger
+	name  string
+	batch bool // takes files
+	mail  chan any
+	log   *zap.Logger
 }
 
 type (
-	moved    string
+	// moved says where the server is, and when its process started.
+	moved struct {
+		address string
+		start   int64
+	}
 	draining struct{}
 	gone     struct{}
 	limits   struct {
@@ -157,17 +167,20 @@
 
 // run works the mailbox. Each attempt waits on its connection in a goroutine of its own: a silent
 // connection must not hold the mailbox.
-func (s *server) run(address string) {
+func (s *server) run(at moved) {
 	connections := transport(s.Options, s.keep)
 	defer func() { connections.CloseIdleConnections() }()
 	for m := range s.mail {
 		switch m := m.(type) {
 		case *node.Attempt:
-			go s.attempt(connections, address, m)
+			go s.attempt(connections, at.address, m)
 		case moved:
-			if string(m) != address {
+			// Another machine, or another process: what was kept of connections leads to the one before, and how long
+			// that one let them rest says nothing of this one.
+			if m != at {
 				connections.CloseIdleConnections()
-				connections, address = transport(s.Options, s.keep), string(m)
+				s.keep = &keep{}
+				connections, at = transport(s.Options, s.keep), m
 			}
 		case limits:
 			s.DialTimeout, s.ConnIdle, s.MaxIdle = m.dial, m.idle, m.maxIdle
--- a/internal/realserver/story_test.go
+++ b/internal/realserver/story_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"standpoint/internal/node"
 	"standpoint/internal/testpeer"
 )
 
@@ -161,3 +162,43 @@
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Equal(t, "answered 500 No", logs.FilterMessage("attempt failed").All()[0].ContextMap()["error"])
 }
+
+// A process started anew at the same address gets connections of its own: those kept to the one before lead nowhere.
+func TestLinksOfTheProcessBefore(t *testing.T) {
+	var links sync.Map
+	server := testpeer.RawServer(t, func(c net.Conn) {
+		links.Store(c, true)
+		_, _ = io.WriteString(c, testpeer.Answer("own"))
+	})
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", server))
+	used := func() (all int) {
+		status, _, _, err := n.Do(n.Chat(t.Context(), nil))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		links.Range(func(any, any) bool { all++; return true })
+		return all
+	}
+	require.Equal(t, 1, used())
+	require.Equal(t, 1, used(), "a kept one")
+	again := testpeer.Entry("s", server)
+	again.ReadyAt = time.Now().Add(-time.Hour).UnixNano()
+	n.Tell(again)
+	require.Equal(t, 2, used())
+}
+
+// A box of another kind under the same name is spoken to in its own way.
+func TestAnotherKindUnderTheSameName(t *testing.T) {
+	files := testpeer.NewBatchServer(t, testpeer.NewLedger(), func(string, int) int { return http.StatusOK })
+	streams := testpeer.Entry("s", testpeer.RawServer(t, func(c net.Conn) { _, _ = io.WriteString(c, testpeer.Answer("own")) }))
+	settings := testpeer.Settings()
+	settings.Cancel = false
+	n := testpeer.Start(t, settings, streams)
+	replaced := testpeer.Entry("s", files.Address)
+	replaced.Batch = true
+	for _, e := range []node.ServiceEntry{streams, replaced, streams} {
+		n.Tell(e)
+		status, _, body, err := n.Do(n.Chat(t.Context(), nil))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, body)
+	}
+}
--- a/internal/realserver/stream.go
+++ b/internal/realserver/stream.go
@@ -44,6 +44,9 @@
 // reportMost is above any load: the largest is that of thousands of tokens unread.
 const reportMost = 1e6
 
+// countMost is above any number of tokens that an answer may tell.
+const countMost = 1e9
+
 // tail is what the last events of a stream tell: tokens found kept and made, a load report, and that there is no more.
 type tail struct {
 	kept   float64
@@ -97,6 +100,6 @@
 		} `json:"usage"`
 	}
 	if json.Unmarshal(data, &u) == nil && u.Usage != nil {
-		t.kept, t.tokens = u.Usage.Details.Cached, u.Usage.Tokens
+		t.kept, t.tokens = max(0, min(countMost, u.Usage.Details.Cached)), max(0, min(countMost, u.Usage.Tokens))
 	}
 }
