Batches: a write whose fate is unknown, a step not taken, uploads that break off

Seen, by a store that takes one write badly (TestEveryWriteOfABatchMayBreakOff, each of 9 writes, carried out or not): a line whose record was written though the write failed was put again under the old version for ever, at full speed; any error of a step stopped the batch until another member led. Pieces of an upload that broke off stayed in the store for good (TestUploadsThatBreakOff); a batch whose file had been deleted in between stood for ever (TestInputThatIsNotWhole); uploads at once, each held whole in memory, were not bounded. Lines at fault: batch/runner.go put, lead, work; batch/api.go upload.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -24,6 +24,7 @@
 	pageStandard = 20
 	pageMost     = 100
 	windowMost   = 7 * 24 * time.Hour
+	uploadsMost  = 4 // at once; each is held in memory whole
 )
 
 // Fields are the names, or the standard values, of what a line states about its flow.
@@ -52,14 +53,16 @@
 	Options
 	classes, tenants map[string]int
 	wake             chan struct{}
+	places           chan struct{} // of uploads that may be under way
 	mu               sync.Mutex
 	signals          map[string]chan struct{}
+	coming           map[string]bool // files whose content is being written
 }
 
 // New makes a front; Run runs its batches.
 func New(o Options) *Front {
 	f := &Front{Options: o, classes: map[string]int{}, tenants: map[string]int{}, wake: make(chan struct{}, 1),
-		signals: map[string]chan struct{}{}}
+		signals: map[string]chan struct{}{}, coming: map[string]bool{}, places: make(chan struct{}, uploadsMost)}
 	for i, n := range o.Classes {
 		f.classes[n] = i
 	}
@@ -94,7 +97,9 @@
 func fileKey(id string) string          { return "file/" + id }
 func lineKey(id string, n int) string   { return fmt.Sprintf("line/%s/%06d", id, n) }
 func resultKey(id string, n int) string { return fmt.Sprintf("result/%s/%06d", id, n) }
-func chunkKey(id string, n int) string  { return fmt.Sprintf("data/%s/%06d", id, n) }
+func chunkKey(id string, n int) string  { return fmt.Sprintf("%s%s/%06d", chunkKeys, id, n) }
+
+const chunkKeys = "data/"
 
 // read decodes what a key holds.
 func read[T any](s store.Store, key string) (v T, version uint64, ok bool) {
@@ -107,8 +112,24 @@
 	return read[Batch](f.Store, batchKey(id))
 }
 
-// store writes a file: its content first, so that a file that can be seen is whole.
+// uploading tells that a file's content is being written by this member.
+func (f *Front) uploading(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.coming[id]
+}
+
+// store writes a file: its content first, so that a file that can be seen is whole. What it leaves when it breaks off
+// is swept by whoever leads next.
 func (f *Front) store(ctx context.Context, file File, content []byte) error {
+	f.mu.Lock()
+	f.coming[file.ID] = true
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.coming, file.ID)
+	}()
 	for n := 0; n*chunkSize < len(content); n++ {
 		part := content[n*chunkSize : min(len(content), (n+1)*chunkSize)]
 		if _, err := f.Store.Write(ctx, store.Op{Key: chunkKey(file.ID, n), Data: part, If: store.Any}); err != nil {
@@ -219,6 +240,14 @@
 }
 
 func (f *Front) upload(w http.ResponseWriter, r *http.Request) {
+	select {
+	case f.places <- struct{}{}:
+		defer func() { <-f.places }()
+	default:
+		w.Header().Set("Retry-After", "1")
+		refuse(w, http.StatusServiceUnavailable, "server_error", "", "too many uploads at once")
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, int64(f.FileMost)+formMemory)
 	form, err := r.MultipartReader()
 	if err != nil {
@@ -267,7 +296,10 @@
 		return
 	}
 	id := newID("file-")
-	if err := f.store(r.Context(), File{ID: id, Filename: name, Purpose: purpose}, content); err != nil {
+	// The client's leaving is no reason to leave half a file: it is whole, and the store takes it or does not.
+	ctx := context.WithoutCancel(r.Context())
+	if err := f.store(ctx, File{ID: id, Filename: name, Purpose: purpose}, content); err != nil {
+		f.remove(ctx, id)
 		f.failed(w, err)
 		return
 	}
@@ -307,11 +339,7 @@
 			return
 		}
 	}
-	ops := []store.Op{{Key: fileKey(id), If: store.Any}}
-	for _, k := range f.Store.List("data/" + id + "/") {
-		ops = append(ops, store.Op{Key: k, If: store.Any})
-	}
-	if _, err := f.Store.Write(r.Context(), ops...); err != nil {
+	if err := f.remove(r.Context(), id); err != nil {
 		f.failed(w, err)
 		return
 	}
@@ -322,6 +350,16 @@
 	}{id, "file", true})
 }
 
+// remove takes a file away, whole or not, in one step.
+func (f *Front) remove(ctx context.Context, id string) error {
+	ops := []store.Op{{Key: fileKey(id), If: store.Any}}
+	for _, k := range f.Store.List(chunkKeys + id + "/") {
+		ops = append(ops, store.Op{Key: k, If: store.Any})
+	}
+	_, err := f.Store.Write(ctx, ops...)
+	return err
+}
+
 func (f *Front) create(w http.ResponseWriter, r *http.Request) {
 	var want struct {
 		InputFileID      string            `json:"input_file_id"`
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	guardMost  = 2 * time.Second // and at most this much
 	turnedWait = 500 * time.Millisecond
 	failedWait = 200 * time.Millisecond
+	retryWait  = 100 * time.Millisecond // before a batch is taken up again that was interrupted; doubled each time
+	retryMost  = 10 * time.Second
 )
 
 // Run runs batches for as long as this member leads the store, until ctx ends. Whenever leadership goes,
@@ -63,17 +66,30 @@
 	defer jobs.Wait()
 	running := map[string]bool{}
 	slots := newSlots(f.LinesAtOnce)
+	f.sweep(ctx)
 	for ctx.Err() == nil {
 		for _, k := range f.Store.List(batchKey("")) {
 			id := k[len(batchKey("")):]
-			b, _, ok := f.batch(id)
-			if !ok || b.Status.Over() || running[id] {
+			if running[id] {
 				continue
 			}
+			b, _, ok := f.batch(id)
+			if !ok {
+				f.Log.Error("the record of a batch cannot be read; it is left alone", zap.String("key", k))
+			}
 			running[id] = true
+			if !ok || b.Status.Over() {
+				continue
+			}
 			jobs.Go(func() {
-				if err := f.work(ctx, id, slots); err != nil && ctx.Err() == nil {
-					f.Log.Error("batch stopped", zap.String("batch", id), zap.Error(err))
+				// A step that the store did not take leaves the batch where the store has it: it is taken up again from there.
+				for wait := retryWait; ; wait = min(2*wait, retryMost) {
+					err := f.work(ctx, id, slots)
+					if err == nil || ctx.Err() != nil {
+						return
+					}
+					f.Log.Error("batch interrupted; it is taken up again", zap.String("batch", id), zap.Duration("after", wait), zap.Error(err))
+					pause(ctx, wait)
 				}
 			})
 		}
@@ -84,6 +100,20 @@
 	}
 }
 
+// sweep takes away what is left of files that were never whole: of uploads that broke off with the member that took them.
+func (f *Front) sweep(ctx context.Context) {
+	for _, k := range f.Store.List(chunkKeys) {
+		id, _, _ := strings.Cut(strings.TrimPrefix(k, chunkKeys), "/")
+		if _, whole := f.file(id); whole || f.uploading(id) {
+			continue
+		}
+		if _, err := f.Store.Write(ctx, store.Op{Key: k, If: store.Any}); err != nil {
+			f.Log.Warn("what is left of an upload could not be taken away", zap.String("key", k), zap.Error(err))
+			return
+		}
+	}
+}
+
 // line is one line of a batch under way.
 type line struct {
 	number  int
@@ -100,11 +130,13 @@
 	if !ok {
 		return fmt.Errorf("batch %s is not in the store", id)
 	}
-	content, err := f.content(b.InputFileID)
-	if err != nil {
-		return err
+	var tasks []Task
+	var faults []Fault
+	if content, err := f.content(b.InputFileID); err != nil {
+		faults = []Fault{{Code: "file_not_whole", Message: err.Error(), Param: "input_file_id"}}
+	} else {
+		tasks, faults = f.validate(content, b.Endpoint)
 	}
-	tasks, faults := f.validate(content, b.Endpoint)
 	if len(faults) > 0 {
 		return f.change(ctx, id, func(b *Batch) {
 			b.Status, b.FailedAt, b.Errors = FailedSt, now(), &Faults{"list", faults}
@@ -234,6 +266,15 @@
 	v, err := f.Store.Write(ctx, ops...)
 	if err == nil {
 		l.version, l.record = v, r
+		return nil
+	}
+	// Whether a write that broke off was carried out is not known: what the store has is what holds, and goes on from there.
+	if now := f.Store.Get(l.key); now.Version != l.version {
+		var has record
+		if bad := json.Unmarshal(now.Data, &has); bad != nil {
+			return errors.Join(err, fmt.Errorf("%s: %w", l.key, bad))
+		}
+		l.version, l.record = now.Version, has
 	}
 	return err
 }
@@ -262,6 +303,7 @@
 	guard := min(f.LineTime/guardShare, guardMost)
 	if err := f.put(ctx, l, record{State: lineOut, Until: until.UnixMilli(), Tries: l.record.Tries + 1}, nil); err != nil {
 		f.must(err, l)
+		pause(ctx, failedWait) // a store that takes nothing is not asked at full speed
 		return node.ClientGone
 	}
 	// The end of the flow's context ends even a stream that has begun, for which no deadline runs.
@@ -305,7 +347,7 @@
 	case node.TurnedDown: // a refusal costs none of the line's tries
 		again(l.record.Tries-1, max(final.Wait, turnedWait))
 	default:
-		if l.record.Tries >= f.Tries {
+		if l.record.Tries >= f.Tries || final.Kind == node.Rejected {
 			f.must(f.fail(ctx, l, "server_error"), l)
 		} else {
 			again(l.record.Tries, failedWait<<min(l.record.Tries, 5))
--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"mime/multipart"
@@ -77,8 +78,8 @@
 	return response.StatusCode
 }
 
-// submit uploads a file and makes a batch of it.
-func (o *office) submit(content, window string) batch.Batch {
+// upload brings a file.
+func (o *office) upload(content string, into any) int {
 	var body bytes.Buffer
 	form := multipart.NewWriter(&body)
 	require.NoError(o.t, form.WriteField("purpose", "batch"))
@@ -89,8 +90,13 @@
 	r, err := http.NewRequest(http.MethodPost, o.url+"/v1/files", &body)
 	require.NoError(o.t, err)
 	r.Header.Set("Content-Type", form.FormDataContentType())
+	return o.do(r, into)
+}
+
+// submit uploads a file and makes a batch of it.
+func (o *office) submit(content, window string) batch.Batch {
 	var file batch.File
-	require.Equal(o.t, http.StatusOK, o.do(r, &file))
+	require.Equal(o.t, http.StatusOK, o.upload(content, &file))
 	var b batch.Batch
 	require.Equal(o.t, http.StatusOK, o.call("POST", "/v1/batches", fmt.Sprintf(
 		`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":%q}`, file.ID, window), &b))
@@ -353,3 +359,82 @@
 	require.Equal(t, 2, ledger.Sent["line 0"])
 	require.Equal(t, 1, ledger.Most)
 }
+
+// broken is a store that takes one write, the at-th, badly: it does nothing and says so, or does it and says that it did
+// not.
+type broken struct {
+	store.Memory
+	at      int64
+	carried bool
+	done    atomic.Int64
+}
+
+func (b *broken) Write(ctx context.Context, ops ...store.Op) (uint64, error) {
+	if b.done.Add(1) != b.at {
+		return b.Memory.Write(ctx, ops...)
+	}
+	if b.carried {
+		_, _ = b.Memory.Write(ctx, ops...)
+	}
+	return 0, errors.New("store: the write broke off")
+}
+
+// Whichever write of a batch breaks off, carried out or not, every line gets its one result, and no line has two
+// attempts out at once.
+func TestEveryWriteOfABatchMayBreakOff(t *testing.T) {
+	for _, carried := range []bool{false, true} {
+		for at := int64(4); at <= 12; at++ { // the first three are the client's: its file, and the batch
+			t.Run(fmt.Sprintf("%d %v", at, carried), func(t *testing.T) {
+				t.Parallel()
+				ledger := testpeer.NewLedger()
+				n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", streaming(t, ledger, func(string, int) int { return http.StatusOK })))
+				keys := &broken{Memory: store.NewMemory(), at: at, carried: carried}
+				o := open(t, n, keys, func(o *batch.Options) { o.LineTime = time.Second })
+				b := o.wait(o.submit(lines(2), "1h").ID, 15*time.Second)
+				require.Equal(t, batch.Completed, b.Status)
+				require.Equal(t, batch.Counts{Total: 2, Completed: 2}, b.RequestCounts)
+				_, written := o.results(b.OutputFileID)
+				require.Equal(t, 2, written)
+				require.Equal(t, 1, ledger.Most)
+				require.LessOrEqual(t, ledger.Total(), 3, "one line at the most was sent again")
+			})
+		}
+	}
+}
+
+// An upload that breaks off in the store, or with the member that took it, leaves no file that can be seen, and nothing
+// else once somebody leads again.
+func TestUploadsThatBreakOff(t *testing.T) {
+	n := testpeer.Start(t, testpeer.Settings())
+	keys := &broken{Memory: store.NewMemory(), at: 2}
+	front, o := serve(t, n, keys, func(o *batch.Options) { o.FileMost = 8 << 20 })
+	content := lines(5000) // three pieces
+	require.Equal(t, http.StatusServiceUnavailable, o.upload(content, nil))
+	require.Empty(t, keys.List(""))
+	// A member that dies in the middle: its pieces stand, and no record of the file.
+	_, err := keys.Memory.Write(t.Context(), store.Op{Key: "data/file-torn/000000", Data: []byte("half")})
+	require.NoError(t, err)
+	var file batch.File
+	require.Equal(t, http.StatusOK, o.upload(content, &file))
+	require.Equal(t, http.StatusNotFound, o.call("GET", "/v1/files/file-torn/content", "", nil))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go front.Run(ctx)
+	require.Eventually(t, func() bool { return keys.Get("data/file-torn/000000").Version == 0 }, 5*time.Second, time.Millisecond)
+	var back string
+	require.Equal(t, http.StatusOK, o.call("GET", "/v1/files/"+file.ID+"/content", "", &back))
+	require.Equal(t, content, back, "a whole one stays")
+}
+
+// A batch whose input is not whole fails, and says so; it does not stand for ever.
+func TestInputThatIsNotWhole(t *testing.T) {
+	n := testpeer.Start(t, testpeer.Settings())
+	keys := store.NewMemory()
+	_, o := serve(t, n, keys, nil)
+	b := o.submit(lines(1), "1h")
+	_, err := keys.Write(t.Context(), store.Op{Key: "data/" + b.InputFileID + "/000000", If: store.Any})
+	require.NoError(t, err)
+	b = open(t, n, keys, nil).wait(b.ID, 5*time.Second)
+	require.Equal(t, batch.FailedSt, b.Status)
+	require.Contains(t, b.Errors.Data[0].Message, "not whole")
+}
