--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -123,8 +124,14 @@
 			return fail(err)
 		}
 		var err error
-		if r.bolt, err = boltdb.NewBoltStore(filepath.Join(o.Dir, "raft.db")); err != nil {
-			return fail(err)
+		file := filepath.Join(o.Dir, "raft.db")
+		if err := readable(func() error {
+			if r.bolt, err = boltdb.NewBoltStore(file); err != nil {
+				return err
+			}
+			return readAll(r.bolt)
+		}); err != nil {
+			return fail(fmt.Errorf("%s: %w", file, err))
 		}
 		log, stable = r.bolt, r.bolt
 		if snapshots, err = raft.NewFileSnapshotStore(o.Dir, snapshotsKept, o.LogTo); err != nil {
@@ -155,6 +162,34 @@
 	return r, nil
 }
 
+// readable carries a check of the log's file out. Its pages are memory of this program: where the file was cut off or
+// written over the library runs into a fault or a panic, which here is an error.
+func readable(check func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("the file is damaged: %v", fault)
+		}
+	}()
+	return check()
+}
+
+// readAll reads every entry of a log: what cannot be read is found before anything rests on it.
+func readAll(log raft.LogStore) error {
+	first, err := log.FirstIndex()
+	if err != nil {
+		return err
+	}
+	last, err := log.LastIndex()
+	for at := max(first, 1); err == nil && at <= last; at++ {
+		var l raft.Log
+		if err = log.GetLog(at, &l); err != nil {
+			err = fmt.Errorf("entry %d of the log: %w", at, err)
+		}
+	}
+	return err
+}
+
 // lastCommand is the index of the last write in the log that no snapshot holds; 0: there is none.
 func lastCommand(log raft.LogStore, snapshots raft.SnapshotStore) uint64 {
 	first, err := log.FirstIndex()
@@ -260,17 +295,17 @@
 }
 
 func (m machine) Apply(l *raft.Log) any {
+	defer m.at.Store(l.Index)
 	var ops []Op
 	if err := json.Unmarshal(l.Data, &ops); err != nil {
-		return written{err: err}
+		return written{err: fmt.Errorf("entry %d of the log cannot be read: %w", l.Index, err)}
 	}
 	version, err := m.write(ops)
-	m.at.Store(l.Index)
 	return written{version, err}
 }
 
 func (m machine) Snapshot() (raft.FSMSnapshot, error) {
-	raw, err := m.encode()
+	raw, err := m.encode(m.at.Load())
 	return snapshot(raw), err
 }
 
@@ -278,9 +313,10 @@
 	defer from.Close()
 	var i image
 	if err := json.NewDecoder(from).Decode(&i); err != nil {
-		return err
+		return fmt.Errorf("the snapshot cannot be read: %w", err)
 	}
 	m.restore(i)
+	m.at.Store(max(m.at.Load(), i.Applied))
 	return nil
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -99,13 +99,14 @@
 // image is the whole state, for snapshots.
 type image struct {
 	Version uint64           `json:"version"`
+	Applied uint64           `json:"applied,omitempty"` // the replicated log's last write in it
 	Values  map[string]Value `json:"values"`
 }
 
-func (k *keys) encode() ([]byte, error) {
+func (k *keys) encode(applied uint64) ([]byte, error) {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	return json.Marshal(image{k.version, k.values})
+	return json.Marshal(image{k.version, applied, k.values})
 }
 
 func (k *keys) restore(i image) {
--- a/internal/store/story_test.go
+++ b/internal/store/story_test.go
@@ -1,12 +1,17 @@
 package store
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/require"
 )
 
@@ -123,3 +128,55 @@
 		})
 	}
 }
+
+// A member that was brought up to date by a snapshot has caught up, though it never applied the writes one by one; an
+// entry that cannot be read is named, and is behind it all the same.
+func TestCaughtUpBySnapshot(t *testing.T) {
+	var at, after atomic.Uint64
+	m := machine{newKeys(), &at}
+	m.Apply(&raft.Log{Index: 7, Data: []byte(`[{"key":"a","data":"MQ==","if":0}]`)})
+	said := m.Apply(&raft.Log{Index: 8, Data: []byte(`[{"key":`)}).(written)
+	require.ErrorContains(t, said.err, "entry 8 of the log cannot be read")
+	require.EqualValues(t, 8, at.Load())
+	taken, err := m.Snapshot()
+	require.NoError(t, err)
+	behind := machine{newKeys(), &after}
+	require.NoError(t, behind.Restore(io.NopCloser(bytes.NewReader(taken.(snapshot)))))
+	require.Equal(t, "1", string(behind.Get("a").Data))
+	require.EqualValues(t, 8, after.Load())
+	require.ErrorContains(t, behind.Restore(io.NopCloser(bytes.NewReader(taken.(snapshot)[:9]))), "the snapshot cannot be read")
+	require.Equal(t, "1", string(behind.Get("a").Data), "what cannot be read changes nothing")
+}
+
+// What was acknowledged is there after a kill at any moment; a log file that is damaged is named, and never opened as an
+// empty one.
+func TestDamagedLog(t *testing.T) {
+	open := func(dir string) (*Raft, error) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return OpenRaft(RaftOptions{ID: "1", Listener: l, Members: []Member{{"1", l.Addr().String()}}, Dir: dir, LogTo: io.Discard,
+			Heartbeat: 100 * time.Millisecond})
+	}
+	dir := t.TempDir()
+	r, err := open(dir)
+	require.NoError(t, err)
+	leader(t, []*Raft{r})
+	_, err = r.Write(t.Context(), Op{Key: "line", Data: []byte("out")})
+	require.NoError(t, err)
+	require.NoError(t, r.Close())
+	file := filepath.Join(dir, "raft.db")
+	whole, err := os.ReadFile(file)
+	require.NoError(t, err)
+	for name, damaged := range map[string][]byte{"cut off": whole[:len(whole)/2], "a page long": whole[:4096], "overwritten": bytes.Repeat([]byte("x"), len(whole))} {
+		other := t.TempDir()
+		file := filepath.Join(other, "raft.db")
+		require.NoError(t, os.WriteFile(file, damaged, 0o600))
+		_, err := open(other)
+		require.ErrorContains(t, err, file, name)
+	}
+	r, err = open(dir)
+	require.NoError(t, err)
+	leader(t, []*Raft{r})
+	require.Equal(t, "out", string(r.Get("line").Data))
+	require.NoError(t, r.Close())
+}
