Service entries: a bad one costs itself alone; another address is another box; kept again

An instance that tells no start and moved to another address kept its predecessor's trust (TestAnotherAddressUnderTheSameName). A last list that the store did not take, or that came while another led, was not written until the next change (TestALastListThatWasNotTaken); a torn one passed in silence. Ruled out: the platform's list, which tells each start, and whose addresses may differ for the same box.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"standpoint"
 	"standpoint/internal/batch"
 	"standpoint/internal/config"
@@ -77,10 +79,14 @@
 	var seq int64
 	known := node.List{Kind: standpoint.ListFull}
 	if len(cfg.Known) > 0 {
+		var faults []error
 		var err error
-		if seq, known, err = entries.Decode(cfg.Known, names); err != nil {
+		if seq, known, faults, err = entries.Decode(cfg.Known, names); err != nil {
 			return part{}, fmt.Errorf("known: %w", err)
 		}
+		if len(faults) > 0 {
+			a.log.Warn("known: service entries that cannot be used", zap.Errors("faults", faults))
+		}
 	}
 	a.keep()
 	watcher := entries.NewWatcher(cfg.Discovery, names, seq, a.news, a.log)
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -55,8 +55,9 @@
 
 // sighting is when an instance that tells no start was first seen, and when last.
 type sighting struct {
-	start int64 // 0: it was there before this node
-	last  time.Time
+	start   int64 // 0: it was there before this node
+	last    time.Time
+	address string
 }
 
 const (
@@ -251,16 +252,18 @@
 		}
 	}
 	if e.ReadyAt == 0 {
-		e.ReadyAt = b.since(in.Name, now)
+		e.ReadyAt = b.since(in.Name, e.Address, now)
 	}
 	return e, nil
 }
 
 // since is the start of an instance that tells none. One that was there when this node came may have run for long; one
-// that appears later, or comes back, has just started as far as anyone can tell, and is cold.
-func (b *Browser) since(name string, now time.Time) int64 {
+// that appears later, comes back, or is at another address has just started as far as anyone can tell, and is cold.
+func (b *Browser) since(name, address string, now time.Time) int64 {
 	was, known := b.seen[name]
 	switch {
+	case known && was.address != address:
+		was.start = now.UnixNano()
 	case known && now.Sub(was.last) < sameStart || known && b.listed[name]:
 	case b.first:
 		was.start = 0
@@ -274,7 +277,7 @@
 			}
 		}
 	}
-	was.last = now
+	was.last, was.address = now, address
 	b.seen[name] = was
 	return was.start
 }
--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
 	"standpoint"
@@ -288,3 +290,54 @@
 	}, 10*time.Second, time.Millisecond)
 	require.Equal(t, map[string]bool{"new": false, "old": true, "unsaid": true, "file": false}, stale)
 }
+
+// A box that tells no start and is at another address all at once is another box under the same name, and cold.
+func TestAnotherAddressUnderTheSameName(t *testing.T) {
+	s := newStage()
+	s.see(0, instance("box"))
+	require.Zero(t, s.told[0].ReadyAt)
+	s.now = s.now.Add(time.Minute)
+	other := instance("box")
+	other.Address = netip.MustParseAddrPort("127.0.0.1:8002")
+	s.see(0, other)
+	require.Equal(t, s.now.UnixNano(), s.told[0].ReadyAt)
+	began := s.now.UnixNano()
+	s.now = s.now.Add(time.Minute)
+	s.see(0, other)
+	require.Equal(t, began, s.told[0].ReadyAt)
+}
+
+// A last list that is torn is named, and none of it is used.
+func TestATornLastList(t *testing.T) {
+	keys := store.NewMemory()
+	_, err := keys.Write(t.Context(), store.Op{Key: lastKey, Data: []byte(`[{"Name":"a","Address":"127.0.0.1:1"},{"Na`)})
+	require.NoError(t, err)
+	seen, logs := observer.New(zap.ErrorLevel)
+	l, ok := NewKeeper(keys, zap.New(seen)).Known(time.Now())
+	require.False(t, ok)
+	require.Empty(t, l.Entries)
+	require.Equal(t, lastKey, logs.All()[0].ContextMap()["key"])
+}
+
+// failing is a store that does not take its first writes.
+type failing struct {
+	store.Memory
+	left atomic.Int64
+}
+
+func (f *failing) Write(ctx context.Context, ops ...store.Op) (uint64, error) {
+	if f.left.Add(-1) >= 0 {
+		return 0, errors.New("store: the write broke off")
+	}
+	return f.Memory.Write(ctx, ops...)
+}
+
+// A last list that the store did not take is written again, though nothing changes any more.
+func TestALastListThatWasNotTaken(t *testing.T) {
+	keys := &failing{Memory: store.NewMemory()}
+	keys.left.Store(1)
+	k := NewKeeper(keys, zap.NewNop())
+	go k.Run(t.Context())
+	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{{Engine: standpoint.Engine{Name: "a"}}}})
+	require.Eventually(t, func() bool { return keys.Get(lastKey).Version != 0 }, 10*time.Second, time.Millisecond)
+}
--- a/internal/entries/keeper.go
+++ b/internal/entries/keeper.go
@@ -18,8 +18,10 @@
 
 const lastKey = "entries/last"
 
-// keepEvery is how often ages are kept that alone have changed.
-const keepEvery = 30 * time.Second
+const (
+	keepEvery = 30 * time.Second // ages that alone have changed
+	keepAgain = time.Second      // after a write that the store did not take
+)
 
 // kept is a service entry as the store has it.
 type kept struct {
@@ -50,7 +52,11 @@
 	l := node.List{Kind: standpoint.ListFull}
 	v := k.store.Get(lastKey)
 	var all []kept
-	if v.Version == 0 || json.Unmarshal(v.Data, &all) != nil {
+	if v.Version == 0 {
+		return l, false
+	}
+	if err := json.Unmarshal(v.Data, &all); err != nil {
+		k.log.Error("the last list of service entries cannot be read; none of it is used", zap.String("key", lastKey), zap.Error(err))
 		return l, false
 	}
 	for _, e := range all {
@@ -110,27 +116,30 @@
 
 // Run writes what has changed, where this member may write.
 func (k *Keeper) Run(ctx context.Context) {
-	ages := time.NewTicker(keepEvery)
+	ages, again := time.NewTicker(keepEvery), time.NewTicker(keepAgain)
 	defer ages.Stop()
+	defer again.Stop()
+	due := false // something has changed that the store does not have
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-k.dirty:
+			due = true
 		case <-ages.C:
-			if k.Ages == nil {
-				continue
-			}
+			due = due || k.Ages != nil
+		case <-again.C:
 		}
-		if _, leads := k.store.Leads(); !leads {
+		// A member that may not write yet may lead later; it keeps what it owes.
+		if _, leads := k.store.Leads(); !leads || !due {
 			continue
 		}
 		raw, err := json.Marshal(k.aged())
 		if err == nil {
 			_, err = k.store.Write(ctx, store.Op{Key: lastKey, Data: raw, If: store.Any})
 		}
-		if err != nil {
-			k.log.Warn("the service entries were not kept", zap.Error(err))
+		if due = err != nil; due {
+			k.log.Warn("the service entries were not kept; once more soon", zap.Error(err))
 		}
 	}
 }
