--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -173,3 +173,13 @@
 		require.ErrorContains(t, err, c.key)
 	}
 }
+
+// TOML has numbers that no bound holds: they are refused by their key.
+func TestNumbersThatAreNone(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/operator.toml")
+	require.NoError(t, err)
+	for _, number := range []string{"nan", "inf", "-inf"} {
+		_, err = ParseOperator(strings.Replace(string(raw), "worth = 2.0", "worth = "+number, 1))
+		require.ErrorContains(t, err, "class[0].worth: not a finite number")
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"math"
 	"net"
 	"os"
 	"path/filepath"
@@ -266,9 +268,45 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return o, fmt.Errorf("%s: unknown key", unknown[0])
 	}
+	var plain map[string]any
+	if _, err := toml.Decode(text, &plain); err != nil {
+		return o, fmt.Errorf("operator's file: %w", err)
+	}
+	if key := notFinite(plain, ""); key != "" {
+		return o, fmt.Errorf("%s: not a finite number", key)
+	}
 	return o, o.complete()
 }
 
+// notFinite is the first key, in order, of a number that no bound holds: TOML has nan and inf. "" where there is none.
+func notFinite(v any, at string) string {
+	switch v := v.(type) {
+	case float64:
+		if math.IsNaN(v) || math.IsInf(v, 0) {
+			return at
+		}
+	case map[string]any:
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			if key := notFinite(v[k], strings.TrimPrefix(at+"."+k, ".")); key != "" {
+				return key
+			}
+		}
+	case []map[string]any:
+		for i := range v {
+			if key := notFinite(v[i], fmt.Sprintf("%s[%d]", at, i)); key != "" {
+				return key
+			}
+		}
+	case []any:
+		for i := range v {
+			if key := notFinite(v[i], fmt.Sprintf("%s[%d]", at, i)); key != "" {
+				return key
+			}
+		}
+	}
+	return ""
+}
+
 // Reread reads the file again for a program that runs. The real servers, classes, tenants, module and limits may
 // change; what the program has bound, opened or promised to batches by its start may not.
 func (o Operator) Reread(path string) (Operator, error) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -133,6 +133,27 @@
 			k.TPOTAim = int64(w.FamilyInfo.TokenAim[i])
 		}
 		s.Classes = append(s.Classes, k)
+		for _, v := range []struct {
+			key  string
+			told float64
+		}{{"onTime", float64(c.OnTime)}, {"hardLimit", float64(c.HardLimit)}, {"window", float64(c.Window)}, {"worth", c.Worth},
+			{"lateWorth", c.LateWorth}, {"tokenAim", float64(k.TPOTAim)}, {"aimUsPer1000PromptTokens", float64(k.AimPer1000)}} {
+			if v.told < 0 {
+				return s, n, fmt.Errorf("settings.classes[%d].%s: %g is negative", i, v.key, v.told)
+			}
+		}
+	}
+	for _, v := range []struct {
+		key        string
+		told, most float64
+	}{{"balancers", float64(w.Balancers), 1e6}, {"period", float64(w.Period), 1e18}, {"limits.sendCap", float64(w.Limits.SendCap), 1e6},
+		{"limits.maxRetryAfter", float64(w.Limits.MaxRetryAfter), 1e18}, {"rules.warmUp", float64(w.Rules.WarmUp), 1e18},
+		{"rules.fall", float64(w.Rules.Fall), 1e18}, {"rules.askWithin", float64(w.Rules.AskWithin), 1e18},
+		{"rules.stopSendingWithin", float64(w.Rules.StopSending), 1e18}, {"rules.startCapacity", w.Rules.StartCapacity, 1},
+		{"rules.overloadFactor", w.Rules.OverloadFactor, 1e6}} {
+		if !(v.told >= 0 && v.told <= v.most) {
+			return s, n, fmt.Errorf("settings.%s: %g is not from 0 to %g", v.key, v.told, v.most)
+		}
 	}
 	for _, t := range w.Tenants {
 		n.Tenants = append(n.Tenants, t.Name)
