Moves: a start without steps, or a box listed twice, no longer ends the daemon

Ruled out: reports and records of any form (FuzzCalls, FuzzRecord), DNS answers and selectors (FuzzAnswer, FuzzSelector). Lines at fault: moves/actor.go plan, moves/tracker.go Listed.

--- a/internal/moves/actor.go
+++ b/internal/moves/actor.go
@@ -491,8 +491,9 @@
 func (s StartWish) plan(p mover.Plan) (mover.Plan, error) {
 	p.From, p.To = s.From, s.To
 	if s.Steps != nil {
-		p.Steps = s.Steps
-		p.Trickle = min(p.Trickle, s.Steps[0])
+		if p.Steps = s.Steps; len(s.Steps) > 0 {
+			p.Trickle = min(p.Trickle, s.Steps[0])
+		}
 	}
 	for _, v := range []struct {
 		key, text string
--- a/internal/moves/story_test.go
+++ b/internal/moves/story_test.go
@@ -479,3 +479,12 @@
 	})
 	require.Len(t, keys.List(historyPrefix), 1)
 }
+
+// A list that has a box as gone and as there takes the daemon nowhere it cannot come back from.
+func TestABoxThatIsListedTwice(t *testing.T) {
+	tr := NewTracker(file(t, nil), zap.NewNop())
+	gone := entry("box-1", "v1")
+	gone.State = standpoint.Gone
+	tell(tr, gone, entry("box-1", "v1"), entry("box-2", "v2"))
+	require.Len(t, tr.Members(time.Now())[1].Boxes, 1)
+}
--- a/internal/moves/tracker.go
+++ b/internal/moves/tracker.go
@@ -124,9 +124,9 @@
 	listed := map[string]bool{}
 	for _, e := range l.Entries {
 		listed[e.Name] = true
-		if b := t.boxes[e.Name]; e.State == standpoint.Gone {
+		if e.State == standpoint.Gone {
 			delete(t.boxes, e.Name)
-		} else {
+		} else if b := t.boxes[e.Name]; b != nil { // nil: the same list has it as gone too
 			b.state, b.readyAt = e.State, e.ReadyAt
 		}
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -151,3 +151,20 @@
 	}
 	require.Equal(t, 0, set(t).Bind(shares).Assign(1, 0, 0), "no pools, no pool")
 }
+
+// Whatever an operator writes as a selector, it is read, or its error names a column.
+func FuzzSelector(f *testing.F) {
+	for _, s := range []string{`version == "v1"`, `site in ("a", "b") and not (kind == "fast")`, `label["x"] != ""`, `((((`, `a == "\x00`} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := Parse(s.String())
+		if err != nil || again.String() != s.String() {
+			t.Fatalf("%q is printed as %q: %v", text, s, err)
+		}
+	})
+}
