Daemon: one owner of the deployment in force; what changes anything needs the token

Seen: SIGHUP wrote the deployment from one goroutine while control calls and the drain read it from others (race report of TestHangupInEveryPhase on the code before: write in reload, read in the status call and in drain); the right to change hung on a mark that a call could leave out, and POST /v1/config, which writes the configuration of all nodes, did leave it out (TestTheSharedConfigurationNeedsTheToken: written without a token). Ruled out: requests taken while draining (TestTermination), SIGHUP while draining, which was and is heard. Mended by one owner, not a lock: Run's goroutine alone has the deployment in force, that of the start never changes; the right follows from the method.

--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -21,9 +21,7 @@
 // and goes on.
 func TestSharedConfiguration(t *testing.T) {
 	dir := t.TempDir()
-	program := filepath.Join(dir, "standpoint")
-	out, err := exec.Command("go", "build", "-o", program, "standpoint/cmd/standpoint").CombinedOutput()
-	require.NoError(t, err, string(out))
+	program := build(t)
 	box := testpeer.Server(t, func(w http.ResponseWriter, _ *http.Request) {
 		testpeer.Event(w, "a")
 		testpeer.Finish(w)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,9 +53,9 @@
 
 // Call is one thing that the daemon can be asked. Do gets the request with its body read; what it returns is the JSON
 // of the answer. An error that is no *Error becomes "internal".
+// Every call but GET needs the token, or the socket's owner: what only reads is a GET.
 type Call struct {
 	Pattern string // of http.ServeMux, such as "POST /v1/move/{wish}"
-	Changes bool   // needs the token, or the socket's owner
 	Do      func(r *http.Request, body []byte) (any, error)
 }
 
@@ -220,7 +220,7 @@
 			answerError(w, &Error{Status: http.StatusServiceUnavailable, Code: "busy", Message: "too many calls at once"})
 			return
 		}
-		if c.Changes && !s.allowed(r) {
+		if r.Method != http.MethodGet && r.Method != http.MethodHead && !s.allowed(r) {
 			s.log.Warn("a call without the right was refused", zap.String("path", r.URL.Path))
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			answerError(w, &Error{Status: http.StatusUnauthorized, Code: "unauthorized",
@@ -272,5 +272,8 @@
 	if err := d.Decode(into); err != nil {
 		return &Error{Status: http.StatusBadRequest, Code: "bad_request", Message: "the body: " + err.Error()}
 	}
+	if d.More() {
+		return &Error{Status: http.StatusBadRequest, Code: "bad_request", Message: "the body: more than one JSON value"}
+	}
 	return nil
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -19,7 +19,7 @@
 func calls(changed *int) []Call {
 	return []Call{
 		{Pattern: "GET /v1/thing", Do: func(*http.Request, []byte) (any, error) { return map[string]int{"changed": *changed}, nil }},
-		{Pattern: "POST /v1/thing", Changes: true, Do: func(_ *http.Request, body []byte) (any, error) {
+		{Pattern: "POST /v1/thing", Do: func(_ *http.Request, body []byte) (any, error) {
 			var in struct {
 				By int `json:"by"`
 			}
@@ -137,7 +137,7 @@
 	require.NoError(t, os.WriteFile(file, []byte(secret), 0o600))
 	changed := 0
 	leader := start(t, "127.0.0.1:0", file, &changed)
-	follower, err := Listen("127.0.0.1:0", file, []Call{{Pattern: "POST /v1/thing", Changes: true, Do: func(*http.Request, []byte) (any, error) {
+	follower, err := Listen("127.0.0.1:0", file, []Call{{Pattern: "POST /v1/thing", Do: func(*http.Request, []byte) (any, error) {
 		return nil, &Error{Status: http.StatusMisdirectedRequest, Code: "not_leader", Message: "another leads", Leader: leader.Address()}
 	}}}, zap.NewNop())
 	require.NoError(t, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return &Faulty{err}
 	}
-	a := &assembly{deployment: d, file: o.File, wishes: make(chan settingsWish), base: baseOf(o.File), log: o.Log, level: zap.NewAtomicLevel(), life: &node.Life{}}
+	a := &assembly{deployment: d, now: d, file: o.File, wishes: make(chan settingsWish), base: baseOf(o.File), log: o.Log, level: zap.NewAtomicLevel(), life: &node.Life{}}
 	if a.log == nil {
 		a.log = newLog(d.logging(), a.level)
 	}
@@ -83,7 +83,7 @@
 	defer end()
 	for _, p := range a.parts {
 		if p.start != nil {
-			p.start()
+			p.start(stop)
 		}
 	}
 	for _, p := range a.parts {
@@ -91,9 +91,8 @@
 			go p.run(actors)
 		}
 	}
-	room := edge.NewRoom(listener, a.limits.EdgeConnections(), log)
+	room := edge.NewRoom(listener, a.now.limits.EdgeConnections(), log)
 	server := edge.NewServer(a.handler(), room, log)
-	go a.rereads(actors, o.File, hangup, room, log)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(room) }()
 	if err := a.life.Move(node.Serving); err != nil {
@@ -101,12 +100,28 @@
 	}
 	log.Info("serving", zap.String("listen", a.listen), zap.Any("limits", a.limits))
 
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serving: %w", err)
-	case <-stop.Done():
+	// From here on this goroutine alone knows the deployment that is in force. Draining is no reason not to listen: a new
+	// configuration may say where the list is had, and the drains in it are to be kept until the end.
+	told, ended := stop.Done(), make(chan error, 1)
+	for {
+		select {
+		case err := <-failed:
+			if told != nil {
+				return fmt.Errorf("serving: %w", err)
+			}
+			failed = nil // drain closes the listener
+		case <-told:
+			told = nil
+			killed := a.now.killed
+			go func() { ended <- a.drain(server, killed, log) }()
+		case err := <-ended:
+			return err
+		case <-hangup:
+			_ = a.takeOn(o.File, room, log) // logged, and nothing has changed
+		case w := <-a.wishes:
+			w.done <- a.carryOut(w, o.File, room, log)
+		}
 	}
-	return a.drain(server, log)
 }
 
 // read takes the deployment in, for the first time.
@@ -127,20 +142,6 @@
 	return deployment{name: cfg.Name, listen: cfg.Listen, limits: cfg.Bounds, operator: &cfg}
 }
 
-// rereads is the actor of the configuration's changes.
-func (a *assembly) rereads(ctx context.Context, file string, hangup <-chan os.Signal, room *edge.Room, log *zap.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			a.takeOn(file, room, log)
-		case w := <-a.wishes:
-			w.done <- a.carryOut(w, file, room, log)
-		}
-	}
-}
-
 // takeOn reads the configuration again and takes it on in all parts, or in none.
 func (a *assembly) takeOn(file string, room *edge.Room, log *zap.Logger) error {
 	next, err := a.reread(file)
@@ -181,7 +182,7 @@
 
 // reread reads the configuration for a program that runs; what may not change is checked.
 func (a *assembly) reread(file string) (deployment, error) {
-	if a.operator != nil {
+	if a.now.operator != nil {
 		raw, err := os.ReadFile(file)
 		if err != nil {
 			return deployment{}, fmt.Errorf("operator's file: %w", err)
@@ -192,10 +193,10 @@
 				return deployment{}, err
 			}
 		}
-		cfg, err := a.operator.RereadText(text)
+		cfg, err := a.now.operator.RereadText(text)
 		return fromOperator(cfg), err
 	}
-	cfg, err := a.platform.Reread(os.Getenv)
+	cfg, err := a.now.platform.Reread(os.Getenv)
 	return fromPlatform(cfg), err
 }
 
@@ -206,14 +207,14 @@
 
 // drain leads the program to its end: it goes on accepting while clients may still come, then closes the listener
 // and waits for what it took. What the platform will cut is handed back in time.
-func (a *assembly) drain(server *http.Server, log *zap.Logger) error {
+func (a *assembly) drain(server *http.Server, killed time.Duration, log *zap.Logger) error {
 	if err := a.life.Move(node.Draining); err != nil {
 		return err
 	}
 	log.Info("draining", zap.Int("open", a.core.Open()))
-	if a.killed > 0 {
-		defer time.AfterFunc(min(handBackTime, a.killed-killMargin), func() { a.core.HandBack(false) }).Stop()
-		defer time.AfterFunc(a.killed-killMargin, func() { a.core.HandBack(true) }).Stop()
+	if killed > 0 {
+		defer time.AfterFunc(min(handBackTime, killed-killMargin), func() { a.core.HandBack(false) }).Stop()
+		defer time.AfterFunc(killed-killMargin, func() { a.core.HandBack(true) }).Stop()
 	}
 	time.Sleep(lateClients)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
--- a/internal/daemon/entriesparts.go
+++ b/internal/daemon/entriesparts.go
@@ -6,9 +6,11 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -50,10 +52,30 @@
 	}})
 	p := part{name: "service entries", run: together(a.keeper.Run, a.source.Run)}
 	if browsers == nil {
-		p.reload = func(next deployment) { a.news(listed(next.operator)) }
+		replaced := map[string]int64{} // when a name that tells no start was given another address; as many as were listed
+		p.reload = func(next deployment) {
+			l := listed(next.operator)
+			was := map[string]node.ServiceEntry{}
+			for _, e := range a.keeper.Current() {
+				was[e.Name] = e
+			}
+			for i := range l.Entries {
+				e := &l.Entries[i]
+				if old, known := was[e.Name]; known && old.Address != e.Address {
+					replaced[e.Name] = time.Now().UnixNano()
+				}
+				if e.ReadyAt == 0 { // another machine under the same name: nothing of the old one holds for it, and it is cold
+					e.ReadyAt = replaced[e.Name]
+				}
+			}
+			maps.DeleteFunc(replaced, func(name string, _ int64) bool {
+				return !slices.ContainsFunc(l.Entries, func(e node.ServiceEntry) bool { return e.Name == name })
+			})
+			a.news(l)
+		}
 		return p, nil
 	}
-	p.start = func() {
+	p.start = func(context.Context) {
 		if known, ok := a.keeper.Known(time.Now()); ok {
 			browsers.Known(known)
 			a.keeper.Tell(known, a.core.News)
@@ -134,7 +156,7 @@
 	}})
 	ended := make(chan struct{})
 	var began atomic.Bool
-	return part{name: "nodes", start: func() { began.Store(true) }, run: func(ctx context.Context) {
+	return part{name: "nodes", start: func(context.Context) { began.Store(true) }, run: func(ctx context.Context) {
 		defer close(ended)
 		actor.Run(ctx)
 	}, stop: func() error {
--- a/internal/daemon/movesparts.go
+++ b/internal/daemon/movesparts.go
@@ -49,7 +49,7 @@
 			return token
 		}})
 	a.calls = append(a.calls, a.mover.Calls()...)
-	return part{name: "moves", start: func() { a.mover.Await(awaitStore) }, run: a.mover.Run,
+	return part{name: "moves", start: func(ctx context.Context) { a.mover.Await(ctx, awaitStore) }, run: a.mover.Run,
 		check: func(to deployment) error { return a.tracker.Check(to.operator) },
 		reload: func(to deployment) {
 			select {
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -27,8 +27,9 @@
 // part is one subsystem in the daemon. Any of its functions may be nil.
 type part struct {
 	name string
-	// start is called once all parts are put together, before any actor runs and any client is heard.
-	start func()
+	// start is called once all parts are put together, before any actor runs and any client is heard. What it waits for
+	// it gives up when the context ends: the program has been told to stop.
+	start func(context.Context)
 	// run is the part's actor; it ends with its context, after everything that was taken has been answered.
 	run func(context.Context)
 	// check tells whether the part can take on the next deployment. Nothing is changed before all agree.
@@ -51,32 +52,33 @@
 
 // assembly is what the parts share while they are put together, in the order of their table.
 type assembly struct {
-	deployment
-	base     string // the folder that relative paths of the operator's file start from
-	log      *zap.Logger
-	level    zap.AtomicLevel
-	life     *node.Life
-	keys     store.Store
-	fleet    *realserver.Fleet
-	pools    node.Pools // nil: none
-	tracker  *moves.Tracker
-	mover    *moves.Actor
-	calls    []control.Call // of the control interface
-	core     *node.Core
-	source   sourceOfEntries
-	news     func(node.List)
-	keeper   *entries.Keeper
-	front    *edge.Front
-	handlers []prefixed // fronts besides the single requests'
-	parts    []part
-	file     string               // the operator's
-	overlay  string               // the shared document that is laid over it; "" for none
-	wishes   chan settingsWish    // about that
-	registry *prometheus.Registry // nil: no metrics
-	metrics  *discovery.Metrics
-	settled  sync.Mutex   // held while the core's settings are put together
-	inForce  deployment   // what they come from
-	nodes    atomic.Int64 // by which the module divides; 0: as the deployment says
+	deployment            // of the start, which never changes: parts may read it from anywhere
+	now        deployment // in force; Run's goroutine alone has it
+	base       string     // the folder that relative paths of the operator's file start from
+	log        *zap.Logger
+	level      zap.AtomicLevel
+	life       *node.Life
+	keys       store.Store
+	fleet      *realserver.Fleet
+	pools      node.Pools // nil: none
+	tracker    *moves.Tracker
+	mover      *moves.Actor
+	calls      []control.Call // of the control interface
+	core       *node.Core
+	source     sourceOfEntries
+	news       func(node.List)
+	keeper     *entries.Keeper
+	front      *edge.Front
+	handlers   []prefixed // fronts besides the single requests'
+	parts      []part
+	file       string               // the operator's
+	overlay    string               // the shared document that is laid over it; "" for none
+	wishes     chan settingsWish    // about that
+	registry   *prometheus.Registry // nil: no metrics
+	metrics    *discovery.Metrics
+	settled    sync.Mutex   // held while the core's settings are put together
+	inForce    deployment   // what they come from
+	nodes      atomic.Int64 // by which the module divides; 0: as the deployment says
 }
 
 type sourceOfEntries interface {
@@ -150,7 +152,7 @@
 			p.reload(next)
 		}
 	}
-	a.deployment = next
+	a.now = next
 	return nil
 }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -91,9 +92,9 @@
 	a.keep()
 	watcher := entries.NewWatcher(cfg.Discovery, names, seq, a.news, a.log)
 	a.source = watcher
-	start := func() { a.news(known) } // what this node last held; it may be old, and the first watch puts it right
+	start := func(context.Context) { a.news(known) } // what this node last held; it may be old, and the first watch puts it right
 	return part{name: "service entries", start: start, run: together(a.keeper.Run, watcher.Run), reload: func(next deployment) {
-		if was, now := a.platform, next.platform; now.Discovery != was.Discovery || !reflect.DeepEqual(now.Names, was.Names) {
+		if was, now := a.now.platform, next.platform; now.Discovery != was.Discovery || !reflect.DeepEqual(now.Names, was.Names) {
 			watcher.Move(now.Discovery, entries.Names{Zones: now.Names.Zones, Kinds: now.Names.Kinds})
 		}
 	}}, nil
--- a/internal/daemon/settingspart.go
+++ b/internal/daemon/settingspart.go
@@ -85,9 +85,9 @@
 
 // begin takes on what the store has before anything is served: a node that comes back must not serve by old settings
 // once it can know the new ones.
-func (f *follower) begin() {
+func (f *follower) begin(ctx context.Context) {
 	late, ok := f.keys.(interface{ CaughtUp() bool })
-	for end := time.Now().Add(awaitStore); ok && !late.CaughtUp(); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(awaitStore); ok && !late.CaughtUp() && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
 			f.log.Warn("the store has not caught up; the node's own file holds until it has")
 			return
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"standpoint/internal/config"
+	"standpoint/internal/control"
+	"standpoint/internal/node"
+	"standpoint/internal/store"
+	"standpoint/internal/testpeer"
+)
+
+// SIGHUP in every phase, beside calls that read what the daemon is: it is heard while draining too, for a drain told by
+// the new file must be kept until the end.
+func TestHangupInEveryPhase(t *testing.T) {
+	release := make(chan struct{})
+	server := testpeer.Server(t, func(w http.ResponseWriter, _ *http.Request) {
+		testpeer.Event(w, "begun")
+		<-release
+		testpeer.Finish(w)
+	})
+	listen, controls := testpeer.FreeAddress(t), testpeer.FreeAddress(t)
+	path := operatorFile(t, listen, server)
+	token := filepath.Join(filepath.Dir(path), "token")
+	require.NoError(t, os.WriteFile(token, []byte("a-token-that-is-long-enough"), 0o600))
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(file, "[control]\nlisten = %q\ntoken_file = \"token\"\n", controls)
+	require.NoError(t, err)
+	require.NoError(t, file.Close())
+	seen, logs := observer.New(zap.InfoLevel)
+	exit := make(chan error, 1)
+	go func() { exit <- Run(Options{File: path, Log: zap.New(seen)}) }()
+	up := func() bool { return logs.FilterMessage("serving").Len() == 1 }
+	require.Eventually(t, up, 5*time.Second, time.Millisecond)
+	client := control.NewClient(controls, "")
+	defer client.Close()
+	ctx, done := context.WithCancel(t.Context())
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		for ctx.Err() == nil {
+			var s daemonStatus
+			_ = client.Call(ctx, http.MethodGet, "/v1/status", nil, &s)
+		}
+	})
+	read := func() int { return logs.FilterMessage("the configuration was read again").Len() }
+	hangup := func() {
+		before := read()
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		require.Eventually(t, func() bool { return read() > before }, 5*time.Second, time.Millisecond)
+	}
+	for range 5 {
+		hangup()
+	}
+	r, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader(`{"messages":[]}`))
+	require.NoError(t, err)
+	for k, v := range map[string]string{"X-Trace-Id": "t", "X-Qos": "chat", "X-Expires-In": "3000m"} {
+		r.Header.Set(k, v)
+	}
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.Eventually(t, func() bool { return logs.FilterMessage("draining").Len() == 1 }, 5*time.Second, time.Millisecond)
+	hangup()
+	done()
+	reading.Wait()
+	close(release)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), "[DONE]")
+	require.NoError(t, <-exit)
+}
+
+// Whatever changes something needs the token: the shared configuration too.
+func TestTheSharedConfigurationNeedsTheToken(t *testing.T) {
+	token := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(token, []byte("a-token-that-is-long-enough"), 0o600))
+	cfg := config.Operator{}
+	cfg.Store.Settings = true
+	keys := store.NewMemory()
+	a := &assembly{deployment: deployment{operator: &cfg}, keys: keys, wishes: make(chan settingsWish), log: zap.NewNop()}
+	_, err := settingsPart(a)
+	require.NoError(t, err)
+	go func() {
+		for w := range a.wishes {
+			w.done <- nil
+		}
+	}()
+	s, err := control.Listen("127.0.0.1:0", token, a.calls, zap.NewNop())
+	require.NoError(t, err)
+	go func() { _ = s.Serve() }()
+	defer s.Close()
+	for given, want := range map[string]int{"": http.StatusUnauthorized, "a-token-that-is-long-enough": 0} {
+		c := control.NewClient(s.Address(), given)
+		defer c.Close()
+		var said *control.Error
+		err := c.Call(t.Context(), http.MethodPost, "/v1/config", SettingsChange{Text: "[module]\ncold_share = 0.5\n", Author: "kim"}, nil)
+		if want == 0 {
+			require.NoError(t, err)
+		} else {
+			require.ErrorAs(t, err, &said)
+			require.Equal(t, want, said.Status)
+			require.Empty(t, keys.List(""))
+		}
+	}
+}
+
+// An operator's list that has another address for a name has another box: cold, where the file tells no start, and it
+// stays the same box when the file is read again.
+func TestAnotherAddressInTheFile(t *testing.T) {
+	cfg, err := config.ReadOperator(operatorFile(t, "127.0.0.1:1", "127.0.0.1:2"))
+	require.NoError(t, err)
+	a := &assembly{deployment: fromOperator(cfg), keys: store.NewMemory(), log: zap.NewNop()}
+	_, err = fleetPart(a)
+	require.NoError(t, err)
+	p, err := operatorEntriesPart(a)
+	require.NoError(t, err)
+	_, err = corePart(a)
+	require.NoError(t, err)
+	a.source.Run(t.Context())
+	entry := func() node.ServiceEntry { return a.keeper.Current()[0] }
+	require.Zero(t, entry().ReadyAt)
+	p.reload(a.deployment)
+	require.Zero(t, entry().ReadyAt)
+	cfg.RealServers[0].Address = "127.0.0.1:3"
+	p.reload(fromOperator(cfg))
+	began := entry().ReadyAt
+	require.WithinDuration(t, time.Now(), time.Unix(0, began), time.Minute)
+	p.reload(fromOperator(cfg))
+	require.Equal(t, began, entry().ReadyAt)
+}
+
+// SIGTERM while the program waits for a store that has no leader ends the wait.
+func TestToldToStopWhileStarting(t *testing.T) {
+	path := operatorFile(t, testpeer.FreeAddress(t), testpeer.FreeAddress(t))
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	more := "[control]\nlisten = \"unix:c.sock\"\n[store]\nkind = \"raft\"\nid = \"a\"\nsettings = true\nheartbeat = \"100ms\"\n"
+	for _, id := range []string{"a", "b", "c"} { // the others are not there
+		more += fmt.Sprintf("[[store.member]]\nid = %q\naddress = %q\n", id, testpeer.FreeAddress(t))
+	}
+	require.NoError(t, os.WriteFile(path, append(text, more...), 0o600))
+	seen, logs := observer.New(zap.InfoLevel)
+	exit := make(chan error, 1)
+	go func() { exit <- Run(Options{File: path, Log: zap.New(seen)}) }()
+	require.Eventually(t, func() bool {
+		_, err := os.Stat(filepath.Join(filepath.Dir(path), "c.sock")) // opened while the parts are put together
+		return err == nil
+	}, 5*time.Second, time.Millisecond)
+	began := time.Now()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.NoError(t, <-exit)
+	require.Less(t, time.Since(began), awaitStore/2)
+	require.Equal(t, 1, logs.FilterMessage("draining").Len())
+}
--- a/internal/moves/actor.go
+++ b/internal/moves/actor.go
@@ -150,9 +150,9 @@
 
 // Await is called before Run. It gives a store that restarts the time to have its record again, so that no flow is
 // assigned as though there had been no move: until the store has caught up with what it held, or most has passed.
-func (a *Actor) Await(most time.Duration) {
+func (a *Actor) Await(ctx context.Context, most time.Duration) {
 	late, ok := a.Store.(interface{ CaughtUp() bool })
-	for end := time.Now().Add(most); ok && !late.CaughtUp(); time.Sleep(awaitEvery) {
+	for end := time.Now().Add(most); ok && !late.CaughtUp() && ctx.Err() == nil; time.Sleep(awaitEvery) {
 		if time.Now().After(end) {
 			a.Log.Warn("the store has not caught up; what it knows of moves holds, or else the file's shares")
 			break
--- a/internal/moves/calls.go
+++ b/internal/moves/calls.go
@@ -20,8 +20,8 @@
 		{Pattern: "GET /v1/pools", Do: func(*http.Request, []byte) (any, error) { return a.Tracker.Members(time.Now()), nil }},
 		{Pattern: "GET /v1/move", Do: a.callStatus},
 		{Pattern: "GET /v1/move/history", Do: a.callHistory},
-		{Pattern: "POST /v1/move/report", Changes: true, Do: a.callReport},
-		{Pattern: "POST /v1/move/{wish}", Changes: true, Do: a.callWish},
+		{Pattern: "POST /v1/move/report", Do: a.callReport},
+		{Pattern: "POST /v1/move/{wish}", Do: a.callWish},
 	}
 }
 
--- a/internal/moves/story_test.go
+++ b/internal/moves/story_test.go
@@ -324,7 +324,7 @@
 	keys = open(nil)
 	defer keys.Close()
 	tr := NewTracker(file(t, nil), zap.NewNop())
-	New(Options{Name: "n1", Tracker: tr, Store: keys, Log: zap.NewNop()}).Await(patient)
+	New(Options{Name: "n1", Tracker: tr, Store: keys, Log: zap.NewNop()}).Await(t.Context(), patient)
 	require.Equal(t, 2, tr.Assign(&standpoint.Request{Session: 1}))
 }
 
