Edge: told lengths are held against the body that came with them

Seen: prompt_len, prefix_len and max_out were believed up to what any body can hold. 100 bytes that say 65,536 tokens make a box look 65 thousand tokens fuller to all others' predictions; a long prompt that says 1 teaches every tenant's prediction that short ones take long. Ruled out: refusing such requests, as a tokenizer may count otherwise; so up to twice and down to half of the count passes. Lines at fault: edge.go decode. Test: TestToldLengths, FuzzRequest. Honest clients: nothing changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -134,8 +135,10 @@
 	request, err := f.decode(r, began)
 	if err == nil {
 		var body []byte
-		body, err = readBody(w, r)
+		var c chat
+		body, c, err = readBody(w, r)
 		if err == nil {
+			c.bound(&request)
 			// readTime is for the request; from here on the server must be able to notice a client that leaves.
 			_ = control.SetReadDeadline(time.Time{})
 			trace := r.Header.Get("X-Trace-Id")
@@ -182,24 +185,61 @@
 	}
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// chat is what is read of a body; a real server gets it as it came.
+type chat struct {
+	Messages  *[]message      `json:"messages"`
+	MaxTokens json.RawMessage `json:"max_tokens"`
+}
+
+// message is the number of characters of one: of its content where that is a string, else as it stands.
+type message int
+
+// UnmarshalJSON implements json.Unmarshaler. Whether a message is a good one is the real server's to say.
+func (m *message) UnmarshalJSON(raw []byte) error {
+	var of struct{ Content *string }
+	if *m = message(len(raw)); json.Unmarshal(raw, &of) == nil && of.Content != nil {
+		*m = message(utf8.RuneCountInString(*of.Content))
+	}
+	return nil
+}
+
+// bound holds the lengths that a client tells against the body that it sent. They decide which box others are sent to
+// and what all learn, and one who tells 60,000 tokens, or one, of a short prompt costs nobody but himself by the body.
+// Tokens are counted here by characters, so a told length may be up to twice, and down to half of that.
+func (c *chat) bound(q *standpoint.Request) {
+	chars, first := 0.0, 0.0
+	for i, m := range *c.Messages {
+		chars += float64(m)
+		if i == 0 {
+			first = chars
+		}
+	}
+	within := func(told, chars float64) float64 { return max(chars/tokenChars/2, min(told, 1+2*chars/tokenChars)) }
+	q.PromptTokens = within(q.PromptTokens, chars)
+	if q.PrefixTokens > 0 {
+		q.PrefixTokens = min(q.PrefixTokens, q.PromptTokens, 1+2*first/tokenChars)
+	}
+	if most, err := tokens(string(c.MaxTokens), answerMost); err == nil && most >= 1 {
+		q.MaxTokens = most // what the real server goes by
+	}
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, chat, error) {
+	var c chat
 	if r.ContentLength > bodyMost {
-		return nil, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
+		return nil, c, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, &fault{http.StatusRequestTimeout, "body: did not come in time"}
+		return nil, c, &fault{http.StatusRequestTimeout, "body: did not come in time"}
 	}
 	if err != nil {
-		return nil, err
-	}
-	var chat struct {
-		Messages *[]json.RawMessage `json:"messages"`
+		return nil, c, err
 	}
-	if json.Unmarshal(body, &chat) != nil || chat.Messages == nil {
-		return nil, &fault{http.StatusBadRequest, "body: not a JSON object with messages"}
+	if json.Unmarshal(body, &c) != nil || c.Messages == nil {
+		return nil, c, &fault{http.StatusBadRequest, "body: not a JSON object with messages"}
 	}
-	return body, nil
+	return body, c, nil
 }
 
 // decode reads the headers into the module's request.
--- a/internal/edge/fuzz_test.go
+++ b/internal/edge/fuzz_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,7 +47,10 @@
 			}
 			return
 		}
-		_, _ = readBody(httptest.NewRecorder(), r)
+		_, c, err := readBody(httptest.NewRecorder(), r)
+		if err == nil {
+			c.bound(&q)
+		}
 		for _, v := range []float64{q.PromptTokens, q.PrefixTokens, q.MaxTokens} {
 			if math.IsNaN(v) || v < 0 || v > answerMost {
 				t.Fatalf("%+v", q)
@@ -56,3 +61,24 @@
 		}
 	})
 }
+
+// Lengths are held against the body: what is told truly passes as it is told, lies stay near what was sent.
+func TestToldLengths(t *testing.T) {
+	body := `{"messages":[{"content":"` + strings.Repeat("ә", 400) + `"},{"content":[{"text":"` + strings.Repeat("x", 400) + `"}]},{"content":null}],"max_tokens":80}`
+	var c chat
+	if err := json.Unmarshal([]byte(body), &c); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range [][2]standpoint.Request{
+		{{PromptTokens: 205, PrefixTokens: 100, MaxTokens: 80}, {PromptTokens: 205, PrefixTokens: 100, MaxTokens: 80}},
+		{{PromptTokens: 65536, PrefixTokens: 65536, MaxTokens: 1 << 20}, {PromptTokens: 410, PrefixTokens: 201, MaxTokens: 80}},
+		{{PromptTokens: 0, PrefixTokens: 0, MaxTokens: 1}, {PromptTokens: 102, PrefixTokens: 0, MaxTokens: 80}},
+	} {
+		q := x[0]
+		c.bound(&q)
+		q.PromptTokens = math.Floor(q.PromptTokens)
+		if q.PromptTokens < x[1].PromptTokens-3 || q.PromptTokens > x[1].PromptTokens+20 || q.PrefixTokens != x[1].PrefixTokens || q.MaxTokens != x[1].MaxTokens {
+			t.Errorf("%+v became %+v, not about %+v", x[0], q, x[1])
+		}
+	}
+}
