--- a/internal/expect/expect.go
+++ b/internal/unmended/unmended.go
@@ -1,5 +1,5 @@
-// Package expect is the shared helper for faults that are known and not mended yet. Nothing outside tests uses it.
-package expect
+// Package unmended is the shared helper for faults that are known and not mended yet. Nothing outside tests uses it.
+package unmended
 
 import (
 	"runtime"
@@ -7,9 +7,9 @@
 	"testing"
 )
 
-// Failure runs a test that shows a known fault and so must fail. One that passes is an error: the fault is mended, and
+// Fault runs a test that shows a known fault and so must fail. One that passes is an error: the fault is mended, and
 // the mark is to be taken away.
-func Failure(t *testing.T, fault string, test func(testing.TB)) {
+func Fault(t *testing.T, fault string, test func(testing.TB)) {
 	t.Helper()
 	noted := &noted{TB: t}
 	done := make(chan struct{})
--- /dev/null
+++ b/tenants_test.go
@@ -0,0 +1,125 @@
+package standpoint
+
+import (
+	"testing"
+
+	"standpoint/internal/unmended"
+)
+
+// beside is a router with two engines, and what it predicts of a quiet tenant's request.
+func beside(quota float64) (r *Router, predicted func(now int64) float64) {
+	set := base()
+	set.SecondCopies, set.Balancers, set.MaxAttempts = false, 1, 3
+	set.Tenants = []Tenant{{Share: 0.5, QuotaRPS: quota}, {Share: 0.5, QuotaRPS: quota}}
+	r = New(set, 1)
+	feed(r, second, ready("a", "b"))
+	return r, func(now int64) float64 {
+		r.now = now
+		o := option{e: r.engines["a"]}
+		r.predict(&request{Request: *ask(1<<40, now+9*second)}, &o)
+		return o.ttft
+	}
+}
+
+// loud is a request of the loud tenant, in a session of its own.
+func loud(id, expires int64) *Request {
+	q := ask(id, expires)
+	q.Tenant, q.PromptTokens = 1, 30_000
+	return q
+}
+
+// A flood of sessions and shared beginnings pushes a quiet session out of the table only after as many entries as a
+// generation holds: at 500 requests a second after half a minute, longer than anybody thinks.
+func TestAFloodOfSessions(t *testing.T) {
+	r, _ := beside(0)
+	a := r.engines["a"]
+	quiet := &request{Request: *ask(1<<40, 9*second)}
+	r.remember(quiet, a, quiet.PromptTokens)
+	for id := int64(1); id < tableSize/2; id++ {
+		q := &request{Request: *loud(id, 9*second)}
+		q.Prefix, q.PrefixTokens = uint64(id)<<20, 100
+		r.remember(q, a, q.PromptTokens)
+	}
+	if r.match(quiet, a) != 1 {
+		t.Fatal("the quiet tenant's session is forgotten")
+	}
+	if n := len(r.table[0]) + len(r.table[1]); n > 2*tableSize {
+		t.Fatalf("%d entries", n)
+	}
+}
+
+// Clients that leave at once hold nothing against the box that they left: what they would have had it read fades by half
+// in 0.4 s, so that five seconds after 300 of them others see it as before.
+func TestEarlyLeavers(t *testing.T) {
+	r, predicted := beside(0)
+	now, before := 2*second, predicted(2*second)
+	for id := int64(1); id <= 300; id++ {
+		now += 5 * ms
+		for _, act := range feed(r, now, loud(id, now+9*second)) {
+			if act.Kind == Send {
+				feed(r, now, &Left{Request: id}, &Outcome{Request: id, Last: true, Code: Cancelled, Engine: act.Engine})
+			}
+		}
+	}
+	now += 5 * second
+	tick(r, now)
+	if after := predicted(now); after > 1.1*before {
+		t.Fatalf("%.2f s to the first token predicted, %.2f before the leavers", after, before)
+	}
+	for _, e := range r.engines {
+		if e.suspect || e.out != 0 || e.tokens != 0 || len(e.waiting) != 0 || len(r.open) != 0 {
+			t.Fatalf("%s is held to account: %+v", e.Name, e)
+		}
+	}
+}
+
+// A tenant that comes again at once when it is refused is refused first, and the quiet one is not; without quotas, which
+// are the guard, half of the quiet one's requests go too.
+func TestInstantRetries(t *testing.T) {
+	refused := func(quota float64) (n int) {
+		r, _ := beside(quota)
+		now := 2 * second
+		for id := int64(1); id <= 4000; id++ {
+			now += 2 * ms
+			r.cut, r.cutAt = 0.5, now
+			q := ask(id, now+9*second)
+			if q.Tenant = 1; id%100 == 0 { // 5 a second, beside 495
+				q.Tenant = 0
+			}
+			for _, act := range feed(r, now, q) {
+				if act.Kind == Shed && q.Tenant == 0 {
+					n++
+				}
+				if act.Kind == Send {
+					feed(r, now, &Left{Request: id}, &Outcome{Request: id, Last: true, Code: Cancelled, Engine: act.Engine})
+				}
+			}
+		}
+		return n
+	}
+	if n := refused(10); n > 1 {
+		t.Errorf("%d of the quiet tenant's 40 requests were refused", n)
+	}
+	if n := refused(0); n < 10 {
+		t.Errorf("%d of 40 without the guard: the test shows nothing", n)
+	}
+}
+
+// Requests that every box answers with 500 leave boxes out for everybody: an error is taken for the box's.
+func TestRequestsThatFailEverywhere(t *testing.T) {
+	unmended.Fault(t, "errors are not told apart by whose request it was", func(t testing.TB) {
+		r, _ := beside(0)
+		now := 2 * second
+		for id := int64(1); id <= 20; id++ {
+			now += 100 * ms
+			for acts := feed(r, now, loud(id, now+9*second)); len(acts) == 1 && acts[0].Kind == Send; {
+				acts = feed(r, now, &Outcome{Request: id, Attempt: acts[0].Attempt, Code: ServerError, Engine: acts[0].Engine})
+			}
+		}
+		for _, e := range r.engines {
+			if e.suspect {
+				t.Errorf("%s is left out, though the quiet tenant never saw it fail", e.Name)
+			}
+		}
+	})
+}
