--- a/api.go
+++ b/api.go
@@ -162,6 +162,17 @@
 	NotSent
 )
 
+var codeNames = [...]string{"served", "server_error", "turned_away", "no_answer", "no_connection", "connection_lost",
+	"called_off", "not_sent"}
+
+// String is the code's name on the wire and in logs.
+func (c Code) String() string {
+	if int(c) >= len(codeNames) {
+		return "unknown"
+	}
+	return codeNames[c]
+}
+
 // NeverRan reports whether the code proves that the attempt had no effect.
 func (c Code) NeverRan() bool { return c == TurnedAway || c == NoConnection || c == NotSent }
 
--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -453,3 +453,24 @@
 		t.Errorf("300 files of the greatest size are kept")
 	})
 }
+
+// A line whose time runs out at a server that takes files is not sent again before that server has said that it is over.
+func TestALineThatCannotBeCalledBack(t *testing.T) {
+	t.Parallel()
+	ledger := testpeer.NewLedger()
+	settings := testpeer.Settings()
+	settings.Cancel = false
+	server := testpeer.NewBatchServer(t, ledger, func(_ string, try int) int {
+		if try == 1 {
+			time.Sleep(2500 * time.Millisecond) // longer than a line's time: this is what is tested
+		}
+		return http.StatusOK
+	})
+	entry := testpeer.Entry("b", server.Address)
+	entry.Batch = true
+	o := open(t, testpeer.Start(t, settings, entry), store.NewMemory(), func(o *batch.Options) { o.LineTime = time.Second })
+	b := o.wait(o.submit(lines(1), "1h").ID, 20*time.Second)
+	require.Equal(t, batch.Counts{Total: 1, Completed: 1}, b.RequestCounts)
+	require.Equal(t, 2, ledger.Sent["line 0"])
+	require.Equal(t, 1, ledger.Most)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -233,7 +233,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &typed) && typed.Code == "bad_plan":
+	case errors.As(err, &typed) && (typed.Code == "bad_plan" || typed.Code == "bad_config"):
 		return exit{Faulty, err}
 	case errors.As(err, &typed):
 		return exit{Refused, err}
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -178,5 +178,7 @@
 // the core.
 func (a *assembly) keep() {
 	a.keeper = entries.NewKeeper(a.keys, a.log)
+	_, names, _ := a.told()
+	a.keeper.Names = entries.Names{Zones: names.Zones, Kinds: names.Kinds}
 	a.news = func(l node.List) { a.keeper.Tell(l, a.core.News) }
 }
--- a/internal/daemon/settingspart.go
+++ b/internal/daemon/settingspart.go
@@ -227,10 +227,10 @@
 	case errors.Is(err, settings.ErrStale):
 		return nil, &control.Error{Status: http.StatusConflict, Code: "stale", Message: err.Error()}
 	case err != nil:
-		return nil, &control.Error{Code: "bad_plan", Message: err.Error()}
+		return nil, &control.Error{Code: "bad_config", Message: err.Error()}
 	}
 	if err := f.ask(r.Context(), settingsWish{text: c.Text, checkOnly: true}); err != nil {
-		return nil, &control.Error{Code: "bad_plan", Message: err.Error()}
+		return nil, &control.Error{Code: "bad_config", Message: err.Error()}
 	}
 	if c.Check {
 		return v, nil
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -148,9 +148,9 @@
 			fresh++
 		}
 	}
-	r.log.Warn("no place for further edge connections", zap.Int("places", len(r.places)), zap.Int("with a request", busy),
-		zap.Duration("longest", longest), zap.Int("silent", silent), zap.Int("without a whole head", fresh),
-		zap.Int("asked to go", r.leaving))
+	r.log.Warn("no place for further edge connections", zap.Int("places", len(r.places)), zap.Int("with_request", busy),
+		zap.Duration("longest", longest), zap.Int("silent", silent), zap.Int("without_head", fresh),
+		zap.Int("asked_to_go", r.leaving))
 }
 
 // filling tells that half of the places are given out. Answers then end their connections: those who come by the
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -86,7 +86,7 @@
 
 // Describe says where an entry comes from, as far as the entry itself tells.
 func Describe(e node.ServiceEntry) Origin {
-	o := Origin{Name: e.Name, Address: e.Address, Stale: e.Stale, State: [...]string{"ready", "draining", "gone"}[e.State]}
+	o := Origin{Name: e.Name, Address: e.Address, Stale: e.Stale, State: word(healths, int(e.State))}
 	if e.ReadyAt > 0 {
 		o.Started = time.Unix(0, e.ReadyAt)
 	}
--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -310,7 +310,7 @@
 // A last list that is torn is named, and none of it is used.
 func TestATornLastList(t *testing.T) {
 	keys := store.NewMemory()
-	_, err := keys.Write(t.Context(), store.Op{Key: lastKey, Data: []byte(`[{"Name":"a","Address":"127.0.0.1:1"},{"Na`)})
+	_, err := keys.Write(t.Context(), store.Op{Key: lastKey, Data: []byte(`[{"host":"a","dial":"127.0.0.1:1","health":"ready"},{"ho`)})
 	require.NoError(t, err)
 	seen, logs := observer.New(zap.ErrorLevel)
 	l, ok := NewKeeper(keys, zap.New(seen)).Known(time.Now())
@@ -341,3 +341,21 @@
 	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{{Engine: standpoint.Engine{Name: "a"}}}})
 	require.Eventually(t, func() bool { return keys.Get(lastKey).Version != 0 }, 10*time.Second, time.Millisecond)
 }
+
+// What was kept is read by the words of the file that holds then: another order of halls and kinds takes no box elsewhere.
+func TestAListIsKeptInWords(t *testing.T) {
+	keys := store.NewMemory()
+	k := NewKeeper(keys, zap.NewNop())
+	k.Names = Names{Zones: []string{"a", "b"}, Kinds: []string{"fast", "slow"}}
+	go k.Run(t.Context())
+	e := node.ServiceEntry{Address: "127.0.0.1:1", Batch: true, Labels: map[string]string{"v": "1"}, Source: "hall",
+		Engine: standpoint.Engine{Name: "s", Zone: 1, Kind: 0, Cell: 3, State: standpoint.Draining, Size: 2, ReadyAt: 5e6}}
+	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{e}})
+	require.Eventually(t, func() bool { return keys.Get(lastKey).Version != 0 }, 10*time.Second, time.Millisecond)
+	next := NewKeeper(keys, zap.NewNop())
+	next.Names = Names{Zones: []string{"b", "a"}, Kinds: []string{"slow", "fast"}}
+	l, ok := next.Known(time.Now())
+	require.True(t, ok)
+	e.Zone, e.Kind = 0, 1
+	require.Equal(t, []node.ServiceEntry{e}, l.Entries)
+}
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -27,6 +27,7 @@
 	wholeTime  = 2 * time.Second  // for the whole list of a new discovery
 	bodyMost   = 4 << 20
 	sizeMost   = 1e6 // of a box, in the list's own unit
+	bornMost   = math.MaxInt64 / int64(time.Millisecond)
 
 	moveRest     = 50 * time.Millisecond // after a call to a new discovery that failed; doubled each time
 	moveRestMost = 500 * time.Millisecond
@@ -67,7 +68,7 @@
 			ReadyAt: h.BornMS * int64(time.Millisecond)}}
 		if e.State, err = state(h.Health); err == nil && e.State != standpoint.Gone {
 			switch {
-			case h.BornMS < 0 || h.BornMS > math.MaxInt64/int64(time.Millisecond):
+			case h.BornMS < 0 || h.BornMS > bornMost:
 				err = fmt.Errorf("born_ms: %d is no time", h.BornMS)
 			case !(h.Share >= 0 && h.Share <= sizeMost):
 				err = fmt.Errorf("share: %g is no size", h.Share)
@@ -88,14 +89,12 @@
 	return w.Seq, l, faults, nil
 }
 
+// healths are the words for the module's states.
+var healths = []string{standpoint.Ready: "ready", standpoint.Draining: "draining", standpoint.Gone: "gone"}
+
 func state(health string) (standpoint.State, error) {
-	switch health {
-	case "ready":
-		return standpoint.Ready, nil
-	case "draining":
-		return standpoint.Draining, nil
-	case "gone":
-		return standpoint.Gone, nil
+	if i := index(healths, health); i >= 0 {
+		return standpoint.State(i), nil
 	}
 	return standpoint.Gone, fmt.Errorf("unknown health %q", health)
 }
--- a/internal/entries/fuzz_test.go
+++ b/internal/entries/fuzz_test.go
@@ -32,16 +32,19 @@
 
 // Whatever stands in the store under the last list's key is a whole list or none.
 func FuzzKept(f *testing.F) {
-	f.Add([]byte(`[{"Name":"a","Address":"127.0.0.1:1","Labels":{"v":"1"},"Until":"2026-12-01T00:00:00Z"}]`))
-	f.Add([]byte(`[{"Name":"a"`))
+	f.Add([]byte(`[{"host":"a","dial":"127.0.0.1:1","health":"ready","labels":{"v":"1"},"until":"2026-12-01T00:00:00Z"}]`))
+	f.Add([]byte(`[{"host":"a","health":"ready","born_ms":9223372036854775807},{"host":"b"`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		keys := store.NewMemory()
 		if _, err := keys.Write(t.Context(), store.Op{Key: lastKey, Data: raw}); err != nil {
 			t.Fatal(err)
 		}
-		if l, ok := NewKeeper(keys, zap.NewNop()).Known(time.Now()); !ok && len(l.Entries) > 0 {
-			t.Fatalf("%+v of what cannot be read", l)
+		l, ok := NewKeeper(keys, zap.NewNop()).Known(time.Now())
+		for _, e := range l.Entries {
+			if !ok || e.Name == "" || e.ReadyAt < 0 || e.State > standpoint.Gone {
+				t.Fatalf("%+v of what cannot be read", e)
+			}
 		}
 	})
 }
--- a/internal/entries/keeper.go
+++ b/internal/entries/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -23,14 +24,56 @@
 	keepAgain = time.Second      // after a write that the store did not take
 )
 
-// kept is a service entry as the store has it.
+// kept is a service entry as the store has it, in the words of the platform's list: what indexes stand for may be in
+// another order in the file by which the next start reads it.
 type kept struct {
-	node.ServiceEntry
-	Until time.Time // the end of its records' time; zero where the source tells none
+	Host   string            `json:"host"`
+	Dial   string            `json:"dial"`
+	Site   string            `json:"site,omitempty"`
+	Class  string            `json:"class,omitempty"`
+	Block  int               `json:"block,omitempty"`
+	Health string            `json:"health"`
+	Share  float64           `json:"share"`
+	BornMS int64             `json:"born_ms,omitempty"`
+	Mode   string            `json:"mode,omitempty"` // batch, of one that takes files
+	Labels map[string]string `json:"labels,omitempty"`
+	Source string            `json:"source,omitempty"`
+	Until  time.Time         `json:"until,omitzero"` // the end of its records' time; absent where the source tells none
+}
+
+func (k *Keeper) write(e node.ServiceEntry, until time.Time) kept {
+	one := kept{Host: e.Name, Dial: e.Address, Site: word(k.Names.Zones, e.Zone), Class: word(k.Names.Kinds, e.Kind), Block: e.Cell,
+		Health: word(healths, int(e.State)), Share: e.Size, BornMS: e.ReadyAt / int64(time.Millisecond), Labels: e.Labels, Source: e.Source, Until: until}
+	if e.Batch {
+		one.Mode = "batch"
+	}
+	if e.Stale {
+		one.Until = time.Unix(1, 0) // past, whenever it is read
+	}
+	return one
+}
+
+func (k *Keeper) read(one kept, now time.Time) (node.ServiceEntry, error) {
+	e := node.ServiceEntry{Address: one.Dial, Batch: one.Mode == "batch", Labels: one.Labels, Source: one.Source,
+		Engine: standpoint.Engine{Name: one.Host, Zone: index(k.Names.Zones, one.Site), Kind: index(k.Names.Kinds, one.Class), Cell: one.Block,
+			Size: one.Share, ReadyAt: one.BornMS * int64(time.Millisecond), Stale: !one.Until.IsZero() && now.After(one.Until)}}
+	var err error
+	if e.State, err = state(one.Health); err == nil && (one.Host == "" || !(one.Share >= 0 && one.Share <= sizeMost) || one.BornMS < 0 || one.BornMS > bornMost) {
+		err = errors.New("an entry that is none")
+	}
+	return e, err
+}
+
+func word(words []string, i int) string {
+	if i < 0 || i >= len(words) {
+		return ""
+	}
+	return words[i]
 }
 
 // Keeper keeps the last service entries in the store, with their ages, so that a node that starts anew has some.
 type Keeper struct {
+	Names Names
 	// Ages says when the entries' records come to the end of their time, by name; nil: nobody knows.
 	Ages func() map[string]time.Time
 
@@ -55,14 +98,17 @@
 	if v.Version == 0 {
 		return l, false
 	}
-	if err := json.Unmarshal(v.Data, &all); err != nil {
+	err := json.Unmarshal(v.Data, &all)
+	for i := 0; i < len(all) && err == nil; i++ {
+		var e node.ServiceEntry
+		e, err = k.read(all[i], now)
+		l.Entries = append(l.Entries, e)
+	}
+	if err != nil {
+		l.Entries = nil
 		k.log.Error("the last list of service entries cannot be read; none of it is used", zap.String("key", lastKey), zap.Error(err))
 		return l, false
 	}
-	for _, e := range all {
-		e.Stale = !e.Until.IsZero() && now.After(e.Until)
-		l.Entries = append(l.Entries, e.ServiceEntry)
-	}
 	return l, true
 }
 
@@ -152,11 +198,7 @@
 	}
 	all := []kept{}
 	for _, e := range k.sorted() {
-		one := kept{e, until[e.Name]}
-		if e.Stale {
-			one.Until = time.Unix(1, 0) // past, whenever it is read
-		}
-		all = append(all, one)
+		all = append(all, k.write(e, until[e.Name]))
 	}
 	return all
 }
--- a/internal/realserver/batchserver.go
+++ b/internal/realserver/batchserver.go
@@ -316,7 +316,7 @@
 func (s *batchServer) endAll(p *parcel, code standpoint.Code, err error) {
 	if len(p.attempts) > 0 {
 		s.Log.Info("attempts of a file failed", zap.String("server", s.name), zap.Int("lines", len(p.attempts)),
-			zap.Uint8("code", uint8(code)), zap.Error(err))
+			zap.Stringer("code", code), zap.Error(err))
 	}
 	for id, a := range p.attempts {
 		r := node.Result{Code: code}
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -235,7 +235,7 @@
 	result, err := s.try(transport, address, a)
 	if err != nil && result.Code != standpoint.Cancelled {
 		s.Log.Info("attempt failed", zap.String("server", s.name), zap.String("trace", a.Flow.Work.TraceID),
-			zap.Int("leg", a.Leg), zap.Uint8("code", uint8(result.Code)),
+			zap.Int("leg", a.Leg), zap.Stringer("code", result.Code),
 			zap.Duration("after", time.Since(a.Sent)), zap.Error(err))
 	}
 	a.End(result)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -79,16 +79,13 @@
 	Leg          int             `json:"leg"`
 }
 
-var codes = map[string]standpoint.Code{
-	"served":          standpoint.Served,
-	"server_error":    standpoint.ServerError,
-	"turned_away":     standpoint.TurnedAway,
-	"no_answer":       standpoint.NoAnswer,
-	"no_connection":   standpoint.NoConnection,
-	"connection_lost": standpoint.ConnectionLost,
-	"called_off":      standpoint.Cancelled,
-	"not_sent":        standpoint.NotSent,
-}
+var codes = func() map[string]standpoint.Code {
+	all := map[string]standpoint.Code{}
+	for c := standpoint.Served; c <= standpoint.NotSent; c++ {
+		all[c.String()] = c
+	}
+	return all
+}()
 
 // Decode reads one line.
 func Decode(text []byte) (Message, error) {
