Edge: bytes of bodies that are held at once are bounded by the node's memory

Seen in reckoning: 33% of 1,024 descriptors may hold flows, each with a body of 256 KiB: 86 MB and more beside a heap of 0.6 x 96 MB; one tenant within the protocol could have a small node killed for memory. Now a quarter of the memory, and of several tenants none more than half of it; beyond that 503 with Retry-After, unread (TestBodiesAreBounded). Ruled out: bodies over 256 KiB, which are refused by their length. Line at fault: edge.go chat.

--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -284,15 +284,15 @@
 }
 
 // A line that the store has as out is not sent by whoever comes next until its time has passed, and a line
-// that has its result is not sent at all.
+// that has its result, an answer or an error, is not sent at all.
 func TestRestartWaitsForLinesThatWereOut(t *testing.T) {
 	ledger := testpeer.NewLedger()
 	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", streaming(t, ledger, func(string, int) int { return http.StatusOK })))
 	keys := store.NewMemory()
 	until := time.Now().Add(1500 * time.Millisecond)
 	_, first := serve(t, n, keys, nil) // takes the file, and dies before it runs all of it
-	b := first.submit(lines(3), "1h")
-	for i, state := range []string{`{"state":"out","until":%d,"tries":1}`, `{"state":"completed","tries":1}`} {
+	b := first.submit(lines(4), "1h")
+	for i, state := range []string{`{"state":"out","until":%d,"tries":1}`, `{"state":"completed","tries":1}`, `{"state":"failed","tries":1}`} {
 		data := state
 		if i == 0 {
 			data = fmt.Sprintf(state, until.UnixMilli())
@@ -301,14 +301,15 @@
 		require.NoError(t, err)
 	}
 	_, err := keys.Write(t.Context(), store.Op{Key: fmt.Sprintf("result/%s/%06d", b.ID, 1),
-		Data: []byte(`{"id":"x","custom_id":"sheet-1","response":{"status_code":200,"request_id":"r","body":{}},"error":null}`)})
+		Data: []byte(`{"id":"x","custom_id":"sheet-1","response":{"status_code":200,"request_id":"r","body":{}},"error":null}`)}, store.Op{Key: fmt.Sprintf("result/%s/%06d", b.ID, 2),
+		Data: []byte(`{"id":"y","custom_id":"sheet-2","response":null,"error":{"code":"server_error","message":"m"}}`)})
 	require.NoError(t, err)
 	second := open(t, n, keys, nil)
 	require.Eventually(t, func() bool { return ledger.Total() == 1 }, time.Second, time.Millisecond)
 	b = second.wait(b.ID, 10*time.Second)
 	require.False(t, time.Now().Before(until))
-	require.Equal(t, batch.Counts{Total: 3, Completed: 3}, b.RequestCounts)
-	require.Equal(t, map[string]int{"line 0": 1, "line 2": 1}, ledger.Sent)
+	require.Equal(t, batch.Counts{Total: 4, Completed: 3, Failed: 1}, b.RequestCounts)
+	require.Equal(t, map[string]int{"line 0": 1, "line 3": 1}, ledger.Sent)
 }
 
 // elected is a store whose member leads by turns.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -38,6 +38,9 @@
 // Flows is how many flows may be open, each with one connection to a real server at the most.
 func (l Limits) Flows() int { return l.Sockets * 33 / 100 }
 
+// Bodies is how many bytes of single requests' bodies may be held at once. The heap is kept to six tenths of the memory.
+func (l Limits) Bodies() int { return l.MemoryMB << 20 / 4 }
+
 // IdleLinks is how many connections may be kept to one real server between requests.
 func (l Limits) IdleLinks() int { return max(2, l.Sockets/100) }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -110,10 +110,11 @@
 
 func edgePart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Log: a.log}
+	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Bodies: node.NewShares(a.limits.Bodies(), len(names.Tenants)), Log: a.log}
 	return part{name: "edge", reload: func(next deployment) {
 		_, names, _ := next.told()
 		a.front.Rename(names)
+		a.front.Bodies.Set(next.limits.Bodies(), len(names.Tenants))
 	}}, nil
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,7 @@
 	Core    *node.Core
 	Life    *node.Life
 	Names   config.Names
+	Bodies  *node.Shares // bytes of the bodies that are held at once
 	Log     *zap.Logger
 	ids     ids
 	indexes atomic.Pointer[indexes]
@@ -133,6 +134,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	request, err := f.decode(r, began)
+	if size := int(r.ContentLength); err == nil && size <= bodyMost {
+		if !f.Bodies.Take(request.Tenant, size) {
+			f.turnDown(w, busyWait)
+			return
+		}
+		defer f.Bodies.Give(request.Tenant, size)
+	}
 	if err == nil {
 		var body []byte
 		var c chat
@@ -174,10 +182,7 @@
 	case node.Broken:
 		panic(http.ErrAbortHandler) // the connection ends without the last chunk
 	case node.TurnedDown:
-		if answer.Wait > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(answer.Wait.Seconds(), 'f', 3, 64))
-		}
-		refuse(w, http.StatusServiceUnavailable, "turned down; trying again is harmless")
+		f.turnDown(w, answer.Wait)
 	case node.Rejected:
 		refuse(w, answer.Status, "a real server found the request itself wrong")
 	default:
@@ -185,6 +190,14 @@
 	}
 }
 
+// turnDown refuses, and says when to come back, if the module says so.
+func (f *Front) turnDown(w http.ResponseWriter, wait time.Duration) {
+	if wait > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+	refuse(w, http.StatusServiceUnavailable, "turned down; trying again is harmless")
+}
+
 // chat is what is read of a body; a real server gets it as it came.
 type chat struct {
 	Messages  *[]message      `json:"messages"`
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -321,9 +321,11 @@
 		if !resume {
 			close(release)
 		}
+		from := time.Now()
 		body, err := io.ReadAll(begun.Body)
 		if resume {
 			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			require.Less(t, time.Since(from), 2*time.Second, "handed back, not found silent after 3 s")
 		} else {
 			require.Contains(t, string(body), "[DONE]")
 		}
@@ -452,3 +454,35 @@
 	require.EqualValues(t, 10, served.Load())
 	require.Len(t, logs.FilterMessage("attempt failed").All(), 0)
 }
+
+// Bodies that are held while their requests wait are bounded by the node's memory: beyond that a request is turned down at
+// once, unread, and told when to come back.
+func TestBodiesAreBounded(t *testing.T) {
+	came := make(chan struct{}, 3)
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		came <- struct{}{}
+		<-r.Context().Done()
+	})))
+	n.Bodies.Set(500<<10, 1)
+	body := `{"messages":["` + strings.Repeat("x", 200<<10) + `"]}`
+	large := func(ctx context.Context) *http.Request {
+		return n.Chat(ctx, func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		})
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	for range 2 {
+		go func() {
+			if response, err := http.DefaultClient.Do(large(ctx)); err == nil {
+				response.Body.Close()
+			}
+		}()
+		<-came
+	}
+	status, header, _, _ := n.Do(large(t.Context()))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	leave()
+	require.Eventually(t, func() bool { return n.Bodies.Taken() == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,46 +103,10 @@
 	actions []standpoint.Action
 	pending []standpoint.Event // events the core itself owes the module
 	nextID  int64
-	places  places
+	places  *Shares
 	start   time.Time
 }
 
-// places are those for open flows. Where there are several tenants none has more than half, so that one that holds its
-// flows open cannot shut the others out.
-type places struct {
-	mu       sync.Mutex
-	most     int
-	shared   bool // among several tenants
-	open     int
-	byTenant map[int]int
-}
-
-func (p *places) set(most, tenants int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.most, p.shared = most, tenants > 1
-}
-
-func (p *places) take(tenant int) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open >= p.most || p.shared && p.byTenant[tenant] >= max(1, p.most/2) {
-		return false
-	}
-	p.open++
-	p.byTenant[tenant]++
-	return true
-}
-
-func (p *places) give(tenant int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open--
-	if p.byTenant[tenant]--; p.byTenant[tenant] == 0 {
-		delete(p.byTenant, tenant)
-	}
-}
-
 // Messages of the mailbox.
 type (
 	adjusted   struct{ settings standpoint.Settings }
@@ -178,8 +141,7 @@
 func New(o Options) *Core {
 	c := &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), mail: make(chan any, mailboxSize),
 		stopped: make(chan struct{}), flows: map[int64]*Flow{}, start: time.Now()}
-	c.places.byTenant = map[int]int{}
-	c.places.set(o.MaxFlows, len(o.Settings.Tenants))
+	c.places = NewShares(o.MaxFlows, len(o.Settings.Tenants))
 	return c
 }
 
@@ -203,7 +165,7 @@
 
 // Adjust takes on new settings. Flows that are open keep the deadlines that they came with.
 func (c *Core) Adjust(settings standpoint.Settings, maxFlows int) {
-	c.places.set(maxFlows, len(settings.Tenants))
+	c.places.Set(maxFlows, len(settings.Tenants))
 	c.post(adjusted{settings})
 }
 
@@ -216,18 +178,14 @@
 func (c *Core) Stopped() <-chan struct{} { return c.stopped }
 
 // Open is the number of flows that wait for their answer.
-func (c *Core) Open() int {
-	c.places.mu.Lock()
-	defer c.places.mu.Unlock()
-	return c.places.open
-}
+func (c *Core) Open() int { return c.places.Taken() }
 
 // Serve takes a flow on and returns its one final answer. When ctx ends, the client has gone.
 func (c *Core) Serve(ctx context.Context, f *Flow) (Answer, error) {
-	if !c.places.take(f.Request.Tenant) {
+	if !c.places.Take(f.Request.Tenant, 1) {
 		return Answer{}, ErrBusy
 	}
-	defer c.places.give(f.Request.Tenant)
+	defer c.places.Give(f.Request.Tenant, 1)
 	c.post(taken{f})
 	select {
 	case a := <-f.done:
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -44,6 +44,7 @@
 	Core    *node.Core
 	Life    *node.Life
 	Room    *edge.Room
+	Bodies  *node.Shares
 	URL     string // of its edge
 	Address string
 	asked   atomic.Uint64
@@ -73,7 +74,8 @@
 	require.NoError(t, err)
 	n.Address, n.URL = listener.Addr().String(), "http://"+listener.Addr().String()
 	n.Room = edge.NewRoom(listener, 300, log)
-	front := edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Log: log}).Handler(), n.Room, log)
+	n.Bodies = node.NewShares(8<<20, 1)
+	front := edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Log: log}).Handler(), n.Room, log)
 	go func() { _ = front.Serve(n.Room) }()
 	t.Cleanup(func() {
 		front.Close()
