--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -178,7 +178,9 @@
 		answer = node.Answer{Kind: node.TurnedDown, Wait: busyWait}
 	}
 	switch answer.Kind {
-	case node.Served, node.ClientGone:
+	case node.Served:
+		_ = control.SetWriteDeadline(time.Now().Add(writeTime)) // the last chunk has its own time, whatever the events took
+	case node.ClientGone:
 	case node.Broken:
 		panic(http.ErrAbortHandler) // the connection ends without the last chunk
 	case node.TurnedDown:
