Shutdown: what is left at the end of the time to stop is answered, not cut off

Seen: where nobody kills the program, flows that still waited when the minute of draining was over were cut off by its exit, without an answer (TestWhatIsLeftAtTheEnd: connection broken, '1 flows were left'). Ruled out: the platform, where the kill is known and what is left was handed back before it. Line at fault: daemon.go drain.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 		case <-told:
 			told = nil
 			killed := a.now.killed
-			go func() { ended <- a.drain(server, killed, log) }()
+			go func() { ended <- a.drain(server, killed, shutdownTime, log) }()
 		case err := <-ended:
 			return err
 		case <-hangup:
@@ -206,18 +206,21 @@
 }
 
 // drain leads the program to its end: it goes on accepting while clients may still come, then closes the listener
-// and waits for what it took. What the platform will cut is handed back in time.
-func (a *assembly) drain(server *http.Server, killed time.Duration, log *zap.Logger) error {
+// and waits for what it took. What the platform will cut is handed back in time; where nobody cuts, what is left after
+// most is answered in the same way.
+func (a *assembly) drain(server *http.Server, killed, most time.Duration, log *zap.Logger) error {
 	if err := a.life.Move(node.Draining); err != nil {
 		return err
 	}
 	log.Info("draining", zap.Int("open", a.core.Open()))
+	last := most
 	if killed > 0 {
+		last = killed
 		defer time.AfterFunc(min(handBackTime, killed-killMargin), func() { a.core.HandBack(false) }).Stop()
-		defer time.AfterFunc(killed-killMargin, func() { a.core.HandBack(true) }).Stop()
 	}
+	defer time.AfterFunc(last-killMargin, func() { a.core.HandBack(true) }).Stop()
 	time.Sleep(lateClients)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -179,3 +179,25 @@
 	require.Len(t, logs.All(), 1)
 	require.Equal(t, versionsKey+"0000000003", logs.All()[0].ContextMap()["key"])
 }
+
+// Where nobody kills the program, what it still holds at the end of its time to stop is answered, and told when to come
+// back: its exit is no answer.
+func TestWhatIsLeftAtTheEnd(t *testing.T) {
+	came := make(chan struct{})
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(came)
+		<-r.Context().Done()
+	})))
+	a := &assembly{core: n.Core, life: n.Life}
+	ended := make(chan error, 1)
+	go func() {
+		<-came
+		ended <- a.drain(n.Server, 0, 1500*time.Millisecond, zap.NewNop())
+	}()
+	status, header, _, err := n.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Expires-In", "60000m") }))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.NoError(t, <-ended)
+}
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -45,6 +45,7 @@
 	Life    *node.Life
 	Room    *edge.Room
 	Bodies  *node.Shares
+	Server  *http.Server
 	URL     string // of its edge
 	Address string
 	asked   atomic.Uint64
@@ -75,10 +76,10 @@
 	n.Address, n.URL = listener.Addr().String(), "http://"+listener.Addr().String()
 	n.Room = edge.NewRoom(listener, 300, log)
 	n.Bodies = node.NewShares(8<<20, 1)
-	front := edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Log: log}).Handler(), n.Room, log)
-	go func() { _ = front.Serve(n.Room) }()
+	n.Server = edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Log: log}).Handler(), n.Room, log)
+	go func() { _ = n.Server.Serve(n.Room) }()
 	t.Cleanup(func() {
-		front.Close()
+		n.Server.Close()
 		cancel()
 	})
 	require.NoError(t, n.Life.Move(node.Serving))
--- a/tenants_test.go
+++ b/tenants_test.go
@@ -158,3 +158,27 @@
 		}
 	}
 }
+
+// A box is sent by what it can do at that moment: at its start a seventh of what it can when warm, times what the rule
+// allows, and no more in any of its windows.
+func TestAColdBoxIsSentByItsWarmth(t *testing.T) {
+	set := base()
+	set.Balancers, set.WarmUp, set.ColdShare, set.FallFactor = 1, 24*second, 0.13, 4
+	r := New(set, 1)
+	now := 100 * second
+	feed(r, now, ready("a", "b"), &EngineList{Kind: ListDelta, Engines: []Engine{{Name: "b", Size: 1, ReadyAt: now}}})
+	e := r.engines["b"]
+	for from := now; from < now+24*second; from += set.Fall {
+		sent := 0.0
+		for r.now = from; r.now < from+set.Fall; r.now += 10 * ms {
+			if r.rate = 20; r.coldRoom(e) { // 10 a second for each of two boxes, which they can do when warm
+				e.coldTokens--
+				sent++
+			}
+		}
+		can := 10 * seconds(set.Fall) * (set.ColdShare + (1-set.ColdShare)*seconds(from-now)/seconds(set.WarmUp))
+		if most := set.FallFactor * can; sent > most+1 || sent == 0 {
+			t.Fatalf("%v sent in the window %d s after its start, of %.1f that push it over", sent, (from-now)/second, most)
+		}
+	}
+}
