Edge: bodies count as they come, so that announced ones that do not come take nothing

A fuzz target for links: what is handed on ends with the answer's last chunk, whatever comes in whatever pieces.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,14 +134,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	request, err := f.decode(r, began)
-	if size := int(r.ContentLength); err == nil && size <= bodyMost {
-		if !f.Bodies.Take(request.Tenant, size) {
-			f.turnDown(w, busyWait)
-			return
-		}
-		defer f.Bodies.Give(request.Tenant, size)
-	}
 	if err == nil {
+		of := &counted{ReadCloser: r.Body, bodies: f.Bodies, tenant: request.Tenant}
+		defer of.give()
+		r.Body = of
 		var body []byte
 		var c chat
 		body, c, err = readBody(w, r)
@@ -158,6 +154,11 @@
 			err = &fault{http.StatusConflict, "X-Trace-Id: that of another request"}
 		}
 	}
+	if errors.Is(err, errFull) {
+		w.Header().Set("Connection", "close") // the rest of its body is not read
+		f.turnDown(w, busyWait)
+		return
+	}
 	var bad *fault
 	if !errors.As(err, &bad) {
 		panic(http.ErrAbortHandler) // the client broke off its own request
@@ -192,6 +193,29 @@
 	}
 }
 
+// counted is a body whose bytes count as they come: one that is announced and does not come takes nothing.
+type counted struct {
+	io.ReadCloser
+	bodies *node.Shares
+	tenant int
+	taken  int
+}
+
+var errFull = errors.New("no room for further bodies")
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.ReadCloser.Read(b)
+	if n > 0 {
+		if !c.bodies.Take(c.tenant, n) {
+			return 0, errFull
+		}
+		c.taken += n
+	}
+	return n, err
+}
+
+func (c *counted) give() { c.bodies.Give(c.tenant, c.taken) }
+
 // turnDown refuses, and says when to come back, if the module says so.
 func (f *Front) turnDown(w http.ResponseWriter, wait time.Duration) {
 	if wait > 0 {
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -456,7 +456,7 @@
 }
 
 // Bodies that are held while their requests wait are bounded by the node's memory: beyond that a request is turned down at
-// once, unread, and told when to come back.
+// once and told when to come back. Bodies that are announced and do not come take nothing.
 func TestBodiesAreBounded(t *testing.T) {
 	came := make(chan struct{}, 3)
 	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
@@ -471,6 +471,11 @@
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 		})
 	}
+	for range 10 {
+		_, err := n.Dial().Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nX-Trace-Id: a\r\nX-Qos: chat\r\nX-Customer: acme\r\n" +
+			"X-Expires-In: 2000m\r\nContent-Length: 200000\r\n\r\n{"))
+		require.NoError(t, err)
+	}
 	ctx, leave := context.WithCancel(t.Context())
 	for range 2 {
 		go func() {
--- a/internal/realserver/fuzz_test.go
+++ b/internal/realserver/fuzz_test.go
@@ -1,7 +1,11 @@
 package realserver
 
 import (
+	"bytes"
+	"errors"
+	"io"
 	"math"
+	"net"
 	"testing"
 )
 
@@ -35,3 +39,37 @@
 		}
 	})
 }
+
+// Whatever comes on a link, in whatever pieces, what is handed on ends with the answer's last chunk.
+func FuzzLink(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\n2\r\nhi\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"), uint8(3))
+	f.Add([]byte("\r\n0\r\n0\r\n\r\n\r\n0\r\n\r\n"), uint8(1))
+	f.Add([]byte("\r\n0\r\r\n0\r\n\r\n"), uint8(2))
+	f.Fuzz(func(t *testing.T, raw []byte, piece uint8) {
+		l := &link{Conn: &pieces{rest: raw, most: 1 + int(piece)}, keep: &keep{}}
+		got, err := io.ReadAll(l)
+		want := raw
+		if i := bytes.Index(raw, []byte(lastChunk)); i >= 0 {
+			want = raw[:i+len(lastChunk)]
+		}
+		if !bytes.Equal(got, want) || len(want) < len(raw) && !errors.Is(err, errSpent) {
+			t.Fatalf("%q of %q, %v", got, raw, err)
+		}
+	})
+}
+
+// pieces is a connection that hands on a few bytes at a time.
+type pieces struct {
+	net.Conn
+	rest []byte
+	most int
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if len(p.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b[:min(len(b), p.most)], p.rest)
+	p.rest = p.rest[n:]
+	return n, nil
+}
