Moves: a late answer of the process before counts for no box and no pool

Seen in reading: the tracker knew boxes by name alone, so that errors and load of a process that was replaced counted against the box started anew and its pool, in the middle of a move that a rolling deploy is there for (TestLateAnswersOfTheProcessBefore). Line at fault: moves/tracker.go Ended. An observation says when its attempt was sent; one sent before the box's start is no word of it.

--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -243,7 +243,7 @@
 			t.box.Cancel(t.id)
 		}
 	}
-	o := node.Observation{Request: &a.request, Server: t.box.name, Asked: code == standpoint.Cancelled,
+	o := node.Observation{Request: &a.request, Server: t.box.name, Sent: time.Unix(0, epoch+int64(t.sent*1e9)), Asked: code == standpoint.Cancelled,
 		Result: node.Result{Code: code, Kept: kept}}
 	if t.begun > 0 {
 		o.First, o.Own, o.Decode = span(t.begun-a.arrivedHere()), span(t.begun-t.sent), span(w.now-t.begun)
--- a/internal/moves/story_test.go
+++ b/internal/moves/story_test.go
@@ -488,3 +488,20 @@
 	tell(tr, gone, entry("box-1", "v1"), entry("box-2", "v2"))
 	require.Len(t, tr.Members(time.Now())[1].Boxes, 1)
 }
+
+// What comes late from the process before is not held for or against the box that was started anew under its name.
+func TestLateAnswersOfTheProcessBefore(t *testing.T) {
+	tr := NewTracker(file(t, nil), zap.NewNop())
+	now := time.Now()
+	again := entry("box-2", "v2")
+	again.ReadyAt = now.UnixNano()
+	tell(tr, entry("box-1", "v1"), again)
+	tr.Follow(mover.Record{ID: "m", State: mover.Holding, Plan: mover.Plan{From: "old", To: "new"}})
+	for i, sent := range []time.Time{now.Add(-time.Second), now.Add(time.Second)} {
+		tr.Ended(node.Observation{Request: &standpoint.Request{Pool: 2}, Server: "box-2", Sent: sent,
+			Result: node.Result{Code: standpoint.ServerError, Report: &standpoint.Report{Slots: 0.9}}})
+		_, to := tr.Take(now)
+		require.Equal(t, i, to.Errors)
+		require.Equal(t, 0.9*float64(i), tr.boxes["box-2"].load)
+	}
+}
--- a/internal/moves/tracker.go
+++ b/internal/moves/tracker.go
@@ -200,6 +200,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.boxes[o.Server]
+	if b != nil && b.readyAt > o.Sent.UnixNano() {
+		b = nil // it went to the process before, and says nothing of this one
+	}
 	if b != nil && o.Result.Report != nil {
 		b.load = o.Result.Report.Slots
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -60,6 +60,7 @@
 type Observation struct {
 	Request *standpoint.Request
 	Server  string
+	Sent    time.Time
 	Result  Result
 	First   time.Duration // from the flow's arrival to its first event; 0: there was none
 	Own     time.Duration // likewise from the attempt's sending
@@ -127,7 +128,7 @@
 
 func (m ended) observation() Observation {
 	f := m.a.Flow
-	o := Observation{Request: &f.Request, Server: m.a.Server, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
+	o := Observation{Request: &f.Request, Server: m.a.Server, Sent: m.a.Sent, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
 	if m.a.first > 0 {
 		o.First, o.Own = m.a.Sent.Add(m.a.first).Sub(f.arrived), m.a.first
 		if !m.held {
