--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -179,7 +179,7 @@
 	var b1 *testpeer.BatchServer
 	var told func()
 	b1 = testpeer.NewBatchServer(t, ledger, func(line string, try int) int {
-		if ledger.Total() > n/2 && b1.Waiting() > 1 {
+		if b1.Waiting() > 1 { // in the middle of a file, however many a slow machine lets come to it
 			drain.Do(told)
 		}
 		return run(line, try)
