--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -1,13 +1,11 @@
 package batch_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -80,16 +78,10 @@
 
 // upload brings a file.
 func (o *office) upload(content string, into any) int {
-	var body bytes.Buffer
-	form := multipart.NewWriter(&body)
-	require.NoError(o.t, form.WriteField("purpose", "batch"))
-	part, err := form.CreateFormFile("file", "sheets.jsonl")
+	kind, body := testpeer.Upload(content)
+	r, err := http.NewRequest(http.MethodPost, o.url+"/v1/files", body)
 	require.NoError(o.t, err)
-	_, _ = io.WriteString(part, content)
-	require.NoError(o.t, form.Close())
-	r, err := http.NewRequest(http.MethodPost, o.url+"/v1/files", &body)
-	require.NoError(o.t, err)
-	r.Header.Set("Content-Type", form.FormDataContentType())
+	r.Header.Set("Content-Type", kind)
 	return o.do(r, into)
 }
 
--- a/internal/cli/kill_test.go
+++ b/internal/cli/kill_test.go
@@ -1,13 +1,11 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"mime/multipart"
 	"net/http"
 	"os"
 	"os/exec"
@@ -104,19 +102,8 @@
 	return response.StatusCode, string(raw)
 }
 
-// form is an upload's body.
-func form(content string) (kind string, body *bytes.Buffer) {
-	body = &bytes.Buffer{}
-	w := multipart.NewWriter(body)
-	_ = w.WriteField("purpose", "batch") // to memory: cannot fail
-	part, _ := w.CreateFormFile("file", "sheets.jsonl")
-	_, _ = io.WriteString(part, content)
-	_ = w.Close()
-	return w.FormDataContentType(), body
-}
-
 func (v *victim) upload(content string) (id string, ok bool) {
-	kind, body := form(content)
+	kind, body := testpeer.Upload(content)
 	status, said := v.call("POST", "/v1/files", kind, body)
 	var file struct{ ID string }
 	ok = status == http.StatusOK && json.Unmarshal([]byte(said), &file) == nil
@@ -124,12 +111,7 @@
 }
 
 func (v *victim) chat(ctx context.Context, trace string) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, "POST", v.url+"/v1/chat/completions", strings.NewReader(`{"messages":[{"content":"`+trace+`"}]}`))
-	require.NoError(v.t, err)
-	for k, s := range map[string]string{"X-Trace-Id": trace, "X-Qos": "chat", "X-Expires-In": "15000m"} {
-		r.Header.Set(k, s)
-	}
-	return http.DefaultClient.Do(r)
+	return http.DefaultClient.Do(testpeer.Ask(v.t, strings.TrimPrefix(v.url, "http://"), trace, "15000m").WithContext(ctx))
 }
 
 // A node is killed while a request waits at a box, a stream is passed on, and lines of a batch are out. What it held is
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -60,12 +60,7 @@
 	asked := 0
 	ask := func(trace string) *http.Response {
 		asked++
-		r, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader(`{"messages":[]}`))
-		require.NoError(t, err)
-		r.Header.Set("X-Trace-Id", fmt.Sprintf("%s-%d", trace, asked))
-		r.Header.Set("X-Qos", "chat")
-		r.Header.Set("X-Expires-In", "3000m")
-		response, err := client.Do(r)
+		response, err := client.Do(testpeer.Ask(t, listen, fmt.Sprintf("%s-%d", trace, asked), "3000m"))
 		require.NoError(t, err)
 		return response
 	}
@@ -106,12 +101,7 @@
 	asked := 0
 	ask := func() string {
 		asked++
-		r, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader(`{"messages":[]}`))
-		require.NoError(t, err)
-		for k, v := range map[string]string{"X-Trace-Id": fmt.Sprint("t-", asked), "X-Qos": "chat", "X-Expires-In": "3000m"} {
-			r.Header.Set(k, v)
-		}
-		response, err := http.DefaultClient.Do(r)
+		response, err := http.DefaultClient.Do(testpeer.Ask(t, listen, fmt.Sprint("t-", asked), "3000m"))
 		if err != nil {
 			return ""
 		}
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -66,12 +65,7 @@
 	for range 5 {
 		hangup()
 	}
-	r, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader(`{"messages":[]}`))
-	require.NoError(t, err)
-	for k, v := range map[string]string{"X-Trace-Id": "t", "X-Qos": "chat", "X-Expires-In": "3000m"} {
-		r.Header.Set(k, v)
-	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := http.DefaultClient.Do(testpeer.Ask(t, listen, "t", "3000m"))
 	require.NoError(t, err)
 	defer response.Body.Close()
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,12 +27,11 @@
 	readTime   = 2500 * time.Millisecond // in which a request must have come, head and body
 	idleTime   = 5 * time.Second         // for which an edge connection is kept between requests
 	headMost   = 16 << 10
-	tokenChars = 4                      // characters of a prompt's token
-	answerMost = 1 << 20                // tokens that may be asked for
-	spanMost   = time.Hour              // for which a client may say that it waits
-	writeTime  = 4 * time.Second        // for which a client may keep its answer waiting, in all
-	waitLeast  = 100 * time.Millisecond // of that, what is not this machine's own
-	margin     = 10 * time.Millisecond  // by which the answer comes before the client gives up
+	tokenChars = 4                     // characters of a prompt's token
+	answerMost = 1 << 20               // tokens that may be asked for
+	spanMost   = time.Hour             // for which a client may say that it waits
+	writeTime  = 4 * time.Second       // for which a client may keep its answer waiting, in all
+	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
 	chatTarget = "/v1/chat/completions"
 )
@@ -156,7 +155,7 @@
 	}
 	if errors.Is(err, errFull) {
 		w.Header().Set("Connection", "close") // the rest of its body is not read
-		f.turnDown(w, busyWait)
+		turnDown(w, busyWait)
 		return
 	}
 	var bad *fault
@@ -185,7 +184,7 @@
 	case node.Broken:
 		panic(http.ErrAbortHandler) // the connection ends without the last chunk
 	case node.TurnedDown:
-		f.turnDown(w, answer.Wait)
+		turnDown(w, answer.Wait)
 	case node.Rejected:
 		refuse(w, answer.Status, "a real server found the request itself wrong")
 	default:
@@ -217,7 +216,7 @@
 func (c *counted) give() { c.bodies.Give(c.tenant, c.taken) }
 
 // turnDown refuses, and says when to come back, if the module says so.
-func (f *Front) turnDown(w http.ResponseWriter, wait time.Duration) {
+func turnDown(w http.ResponseWriter, wait time.Duration) {
 	if wait > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
@@ -393,7 +392,7 @@
 func (c *connection) Event(b []byte) error {
 	from := time.Now()
 	defer func() {
-		if wait := time.Since(from); wait > waitLeast {
+		if wait := time.Since(from); wait > node.HeldLeast {
 			c.held += wait
 		}
 	}()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -122,7 +122,6 @@
 		a       *Attempt
 		r       Result
 		elapsed time.Duration
-		held    bool
 	}
 )
 
@@ -131,7 +130,7 @@
 	o := Observation{Request: &f.Request, Server: m.a.Server, Sent: m.a.Sent, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
 	if m.a.first > 0 {
 		o.First, o.Own = m.a.Sent.Add(m.a.first).Sub(f.arrived), m.a.first
-		if !m.held {
+		if m.r.Held == 0 {
 			o.Decode = m.elapsed - m.a.first
 		}
 	}
@@ -272,12 +271,11 @@
 			Elapsed: int64(m.elapsed)})
 	case ended:
 		m.a.out = false
-		m.held = m.r.Held > 0
 		if c.Pools != nil {
 			c.Pools.Ended(m.observation())
 		}
 		c.decide(&standpoint.Outcome{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg, Last: m.a.Flow.isOver(),
-			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Held: m.held,
+			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Held: m.r.Held > 0,
 			Report: m.r.Report})
 		c.forget(m.a.Flow)
 	}
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -130,6 +130,9 @@
 	given bool          // under the flow's lock: given up
 }
 
+// HeldLeast is from when on a client counts as slow to take an event; less may be this machine's own delay.
+const HeldLeast = 100 * time.Millisecond
+
 // Result is how an attempt ended, as the real server's actor saw it.
 type Result struct {
 	Code   standpoint.Code
@@ -199,5 +202,5 @@
 		f.done <- Answer{Kind: Rejected, Status: r.Rejected}
 	}
 	f.mu.Unlock()
-	a.post(ended{a: a, r: r, elapsed: time.Since(a.Sent)})
+	a.post(ended{a, r, time.Since(a.Sent)})
 }
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -33,7 +33,6 @@
 	streamMost  = 16 << 20               // of a whole answer
 	drainMost   = 16 << 10               // of an answer that is no stream, to be able to keep its connection
 	drainTime   = 100 * time.Millisecond // in which that must have come
-	heldLeast   = 100 * time.Millisecond // from which a client counts as slow to take an event; less may be this machine
 	freshTries  = 2                      // further connections for a request that kept ones did not take
 	neverRan    = "X-Never-Ran"
 )
@@ -376,7 +375,7 @@
 			quiet.Stop()
 			from := time.Now()
 			err := a.Event(buffer[:whole])
-			if wait := time.Since(from); wait > heldLeast {
+			if wait := time.Since(from); wait > node.HeldLeast {
 				held += wait
 			}
 			quiet.Reset(streamQuiet)
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -4,9 +4,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"mime/multipart"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -246,3 +248,25 @@
 	}
 	return n
 }
+
+// Ask is a request to a node that runs as a whole, with a class "chat" and no tenants; its body names it.
+func Ask(t testing.TB, address, trace, wait string) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions",
+		strings.NewReader(fmt.Sprintf(`{"messages":[{"content":%q}]}`, trace)))
+	require.NoError(t, err)
+	for k, v := range map[string]string{"X-Trace-Id": trace, "X-Qos": "chat", "X-Expires-In": wait} {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+// Upload is a batch file as the body of an upload, and its content type.
+func Upload(content string) (kind string, body *bytes.Buffer) {
+	body = &bytes.Buffer{}
+	form := multipart.NewWriter(body)
+	_ = form.WriteField("purpose", "batch") // into memory: cannot fail
+	part, _ := form.CreateFormFile("file", "sheets.jsonl")
+	_, _ = io.WriteString(part, content)
+	_ = form.Close()
+	return form.FormDataContentType(), body
+}
--- a/state.go
+++ b/state.go
@@ -79,6 +79,7 @@
 	usual      float64 // ready engines of late: their number, or what it was, slowly fading
 	usualAt    int64
 	tenants    []tenantRate
+	nobody     tenantRate // in place of one that cannot be told from the others
 	ticking    bool
 	askedAt    int64
 	asks       int64 // failed discovery calls in a row
@@ -391,7 +392,8 @@
 // tenant is what is known of a request's tenant. Where there is one alone, or none, it cannot be told from the others.
 func (r *Router) tenant(q *request) *tenantRate {
 	if len(r.tenants) < 2 || q.Tenant < 0 || q.Tenant >= len(r.tenants) {
-		return &tenantRate{}
+		r.nobody = tenantRate{}
+		return &r.nobody
 	}
 	return &r.tenants[q.Tenant]
 }
