--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -225,18 +224,33 @@
 
 // chat is what is read of a body; a real server gets it as it came.
 type chat struct {
-	Messages  *[]message      `json:"messages"`
+	Messages *[]struct {
+		Content text `json:"content"`
+	} `json:"messages"`
 	MaxTokens json.RawMessage `json:"max_tokens"`
+	odd       int             // characters of a body whose messages have another form; whether it is a good one is the real server's to say
 }
 
-// message is the number of characters of one: of its content where that is a string, else as it stands.
-type message int
-
-// UnmarshalJSON implements json.Unmarshaler. Whether a message is a good one is the real server's to say.
-func (m *message) UnmarshalJSON(raw []byte) error {
-	var of struct{ Content *string }
-	if *m = message(len(raw)); json.Unmarshal(raw, &of) == nil && of.Content != nil {
-		*m = message(utf8.RuneCountInString(*of.Content))
+// text is the number of characters of a content: of a string, or of the parts as they stand.
+type text int
+
+// UnmarshalJSON implements json.Unmarshaler. It counts where the value stands: bodies are long, and are not copied for it.
+func (t *text) UnmarshalJSON(raw []byte) error {
+	*t = text(len(raw))
+	if raw[0] != '"' {
+		return nil
+	}
+	*t = 0
+	for i := 1; i < len(raw)-1; i++ {
+		switch c := raw[i]; {
+		case c == '\\' && raw[i+1] == 'u':
+			i += 5
+		case c == '\\':
+			i++
+		case c&0xc0 == 0x80: // a character's further bytes
+			continue
+		}
+		*t++
 	}
 	return nil
 }
@@ -245,10 +259,9 @@
 // and what all learn, and one who tells 60,000 tokens, or one, of a short prompt costs nobody but himself by the body.
 // Tokens are counted here by characters, so a told length may be up to twice, and down to half of that.
 func (c *chat) bound(q *standpoint.Request) {
-	chars, first := 0.0, 0.0
+	chars, first := float64(c.odd), float64(c.odd)
 	for i, m := range *c.Messages {
-		chars += float64(m)
-		if i == 0 {
+		if chars += float64(m.Content); i == 0 {
 			first = chars
 		}
 	}
@@ -274,7 +287,11 @@
 	if err != nil {
 		return nil, c, err
 	}
-	if json.Unmarshal(body, &c) != nil || c.Messages == nil {
+	var form *json.UnmarshalTypeError
+	if err = json.Unmarshal(body, &c); errors.As(err, &form) {
+		c.odd, err = len(body), nil
+	}
+	if err != nil || c.Messages == nil {
 		return nil, c, &fault{http.StatusBadRequest, "body: not a JSON object with messages"}
 	}
 	return body, c, nil
--- a/internal/edge/fuzz_test.go
+++ b/internal/edge/fuzz_test.go
@@ -82,3 +82,18 @@
 		}
 	}
 }
+
+// Characters are counted where they stand: escapes are one each, and messages of another form count as the whole body.
+func TestCharactersOfABody(t *testing.T) {
+	for body, want := range map[string]float64{
+		`{"messages":[{"content":"\u04d9\n\"\\әa"}]}`: 6,
+		`{"messages":["a string"]}`:                   25,
+		`{"messages":[]}`:                             0,
+	} {
+		_, c, err := readBody(httptest.NewRecorder(), httptest.NewRequest("POST", "/", strings.NewReader(body)))
+		q := standpoint.Request{PromptTokens: 1e6}
+		if c.bound(&q); err != nil || q.PromptTokens != 1+2*want/tokenChars {
+			t.Errorf("%s: %v tokens at the most, %v", body, q.PromptTokens, err)
+		}
+	}
+}
