--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -154,8 +154,10 @@
 type Operator struct {
 	Name   string `toml:"name"`
 	Listen string `toml:"listen"`
-	Seed   int64  `toml:"seed"`
-	Limits struct {
+	// Console is a loopback address where staff call; "" is off.
+	Console string `toml:"console"`
+	Seed    int64  `toml:"seed"`
+	Limits  struct {
 		Cores    float64 `toml:"cores"`
 		MemoryMB int     `toml:"memory_mb"`
 		Sockets  int     `toml:"sockets"`
@@ -329,6 +331,7 @@
 	}{
 		{"name", o.Name, next.Name},
 		{"listen", o.Listen, next.Listen},
+		{"console", o.Console, next.Console},
 		{"entries.source", o.Entries.Source, next.Entries.Source},
 		{"nodes", o.Peers, next.Peers},
 		{"metrics", o.Metrics, next.Metrics},
@@ -425,6 +428,11 @@
 	if err := loopback("listen", o.Listen); err != nil {
 		return err
 	}
+	if o.Console != "" {
+		if err := loopback("console", o.Console); err != nil {
+			return err
+		}
+	}
 	m := &o.Module
 	if m.Zone != "" && !slices.Contains(m.Zones, m.Zone) {
 		return fmt.Errorf("module.zone: %q is not among module.zones", m.Zone)
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -50,6 +50,7 @@
 // Platform is what the platform tells a node.
 type Platform struct {
 	Name, Listen, Discovery string
+	Console                 string // where staff call; "": nowhere
 	Seed                    int64
 	Limits                  Limits
 	PeerListen, PeersAll    string
@@ -98,6 +99,8 @@
 		return p, fmt.Errorf("name: cannot change from %q to %q while the program runs", p.Name, next.Name)
 	case next.Listen != p.Listen:
 		return p, fmt.Errorf("listen: cannot change from %q to %q while the program runs", p.Listen, next.Listen)
+	case next.Console != p.Console:
+		return p, fmt.Errorf("console: cannot change from %q to %q while the program runs", p.Console, next.Console)
 	}
 	return next, nil
 }
@@ -107,6 +110,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Console    string          `json:"console"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
@@ -118,12 +122,13 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return Platform{}, fmt.Errorf("configuration file: %w", err)
 	}
-	p := Platform{Name: w.Name, Listen: w.Listen, Discovery: w.Discovery, Limits: w.Limits,
+	p := Platform{Name: w.Name, Listen: w.Listen, Discovery: w.Discovery, Console: w.Console, Limits: w.Limits,
 		PeerListen: w.PeerListen, Peers: w.Peers, PeersAll: w.PeersAll, Known: w.Known}
 	for _, v := range []struct {
 		key string
 		to  *string
-	}{{"PROXY_NAME", &p.Name}, {"PROXY_LISTEN", &p.Listen}, {"PROXY_DISCOVERY", &p.Discovery}} {
+	}{{"PROXY_NAME", &p.Name}, {"PROXY_LISTEN", &p.Listen}, {"PROXY_DISCOVERY", &p.Discovery},
+		{"PROXY_CONSOLE", &p.Console}} {
 		if s := getenv(v.key); s != "" {
 			*v.to = s
 		}
@@ -131,7 +136,10 @@
 	if p.Name == "" {
 		return p, errors.New("name: missing")
 	}
-	for _, v := range []struct{ key, address string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
+	for _, v := range []struct{ key, address string }{{"listen", p.Listen}, {"discovery", p.Discovery}, {"console", p.Console}} {
+		if v.key == "console" && v.address == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(v.address); err != nil {
 			return p, fmt.Errorf("%s: %q is no host:port address", v.key, v.address)
 		}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,146 @@
+package console
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+func start(t *testing.T, n Node) string {
+	if n.Ready == nil {
+		n.Ready = func() bool { return true }
+	}
+	known := func(_ context.Context, id string) error {
+		if id != "s-1" {
+			return ErrUnknown
+		}
+		return nil
+	}
+	n.Figures = func() []byte { return []byte("app.inflight=14\n") }
+	n.Down, n.Up = known, known
+	s, err := Listen("127.0.0.1:0", n, zap.NewNop())
+	require.NoError(t, err)
+	go func() { _ = s.Serve() }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Address()
+}
+
+func call(t *testing.T, address, method, target string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+address+target, nil)
+	require.NoError(t, err)
+	response, err := (&http.Client{Timeout: time.Second}).Do(r)
+	require.NoError(t, err, "a caller waits 1 s")
+	defer response.Body.Close()
+	require.True(t, response.Close, "one call a connection")
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+// Every call has its answer, and one that says what nobody can mean a 4xx.
+func TestCalls(t *testing.T) {
+	address := start(t, Node{Drain: func(_ context.Context, on bool) error {
+		if !on {
+			return ErrNotNow
+		}
+		return nil
+	}})
+	for _, c := range []struct {
+		method, target string
+		status         int
+	}{
+		{"GET", "/ops/readiness", 200}, {"GET", "/ops/stats", 200},
+		{"POST", "/ops/engines/down?id=s-1", 200}, {"POST", "/ops/engines/up?id=s-1", 200},
+		{"POST", "/ops/engines/down?id=s-9", 404}, {"POST", "/ops/engines/up?id=s-9", 404},
+		{"POST", "/ops/engines/down", 400}, {"POST", "/ops/engines/down?id=", 400}, {"POST", "/ops/engines/down?id=s-1&id=s-2", 400},
+		{"POST", "/ops/engines/down?id=" + strings.Repeat("x", 300), 400}, {"POST", "/ops/engines/down?id=%zz", 400},
+		{"POST", "/ops/drain/start", 200}, {"POST", "/ops/drain/stop", 409},
+		{"GET", "/ops/drain/start", 405}, {"GET", "/ops/engines/down?id=s-1", 405}, {"POST", "/ops/stats", 405},
+		{"GET", "/ops/none", 404}, {"GET", "/", 404},
+	} {
+		status, _ := call(t, address, c.method, c.target)
+		require.Equal(t, c.status, status, "%s %s", c.method, c.target)
+	}
+	_, text := call(t, address, "GET", "/ops/stats")
+	require.Equal(t, "app.inflight=14\n", text)
+	for _, bad := range []string{"nonsense\r\n\r\n", "POST /ops/drain/start HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+		"GET /ops/stats HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"} {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer c.Close()
+		_, _ = io.WriteString(c, bad) // it may be closed on before all is written
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+		line, err := bufio.NewReader(c).ReadString('\n')
+		if err == nil {
+			require.Contains(t, line, "HTTP/1.1 4")
+		} else {
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		}
+	}
+}
+
+// Callers who connect and finish no call hold nobody up, however many they are, and go themselves.
+func TestCallersWhoFinishNoCall(t *testing.T) {
+	address := start(t, Node{})
+	var hanging []net.Conn
+	for i := range 3 * callersMost {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer c.Close()
+		if i%2 == 0 {
+			_, _ = io.WriteString(c, "GET /ops/readiness HTT")
+		}
+		hanging = append(hanging, c)
+		status, _ := call(t, address, "GET", "/ops/readiness")
+		require.Equal(t, http.StatusOK, status)
+	}
+	for _, c := range hanging {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(4*time.Second)))
+		_, err := io.Copy(io.Discard, c)
+		require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "it is still held")
+	}
+}
+
+// A command that its owner does not get to is answered within the caller's second, and what only reads goes on.
+func TestOwnerWhoDoesNotCome(t *testing.T) {
+	address := start(t, Node{Drain: func(ctx context.Context, _ bool) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}})
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := call(t, address, "POST", "/ops/drain/start")
+		answered <- status
+	}()
+	status, _ := call(t, address, "GET", "/ops/stats")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, http.StatusServiceUnavailable, <-answered)
+}
+
+func FuzzID(f *testing.F) {
+	for _, seed := range []string{"id=s-1", "id=", "id=a&id=b", "id=%zz", "id=%00", ";", "id=a;b"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, query string) {
+		id, err := idOf(query)
+		if err != nil {
+			require.Empty(t, id)
+			return
+		}
+		require.True(t, id != "" && len(id) <= idMost)
+		values, err := url.ParseQuery(query)
+		require.NoError(t, err)
+		require.Equal(t, []string{id}, values["id"])
+	})
+}
--- /dev/null
+++ b/internal/daemon/console_test.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"standpoint/internal/testpeer"
+)
+
+// withConsole is an operator's file with a console, and its address.
+func withConsole(t *testing.T, listen, server string) (path, console string) {
+	path, console = operatorFile(t, listen, server), testpeer.FreeAddress(t)
+	raw, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, append([]byte("console = \""+console+"\"\n"), raw...), 0o600))
+	return path, console
+}
+
+func ops(t *testing.T, console, method, target string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+console+target, nil)
+	require.NoError(t, err)
+	response, err := (&http.Client{Timeout: time.Second}).Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+// A whole node and its staff: ready, figures that are read again, sent away and called back more than once, told to
+// stop in the middle, after which there is no way back; a console's address that is taken is named.
+func TestStaff(t *testing.T) {
+	release := make(chan struct{})
+	server := testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		testpeer.Event(w, "x")
+		if r.Header.Get("X-Trace-Id") == "held" {
+			<-release
+		}
+		testpeer.Finish(w)
+	})
+	listen := testpeer.FreeAddress(t)
+	path, console := withConsole(t, listen, server)
+	taken, err := net.Listen("tcp", console)
+	require.NoError(t, err)
+	require.ErrorContains(t, Run(Options{File: path, Log: zap.NewNop()}), "console: ")
+	require.NoError(t, taken.Close())
+	exit := make(chan error, 1)
+	go func() { exit <- Run(Options{File: path, Log: zap.NewNop()}) }()
+	health := func() int {
+		response, err := http.Get("http://" + listen + "/_health")
+		require.NoError(t, err)
+		response.Body.Close()
+		return response.StatusCode
+	}
+	says := func(method, target string) int {
+		status, _ := ops(t, console, method, target)
+		return status
+	}
+	require.Eventually(t, func() bool { return says("GET", "/ops/readiness") == 200 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, 200, health())
+	for range 2 {
+		for range 2 {
+			require.Equal(t, 200, says("POST", "/ops/drain/start"))
+			require.Equal(t, 503, health())
+			require.Equal(t, 503, says("GET", "/ops/readiness"))
+		}
+		for range 2 {
+			require.Equal(t, 200, says("POST", "/ops/drain/stop"))
+			require.Equal(t, 200, health())
+		}
+	}
+	held, err := http.DefaultClient.Do(testpeer.Ask(t, listen, "held", "3000m"))
+	require.NoError(t, err)
+	defer held.Body.Close()
+	_, text := ops(t, console, "GET", "/ops/stats")
+	require.Contains(t, text, "app.inflight=1\n")
+	require.Equal(t, 200, says("POST", "/ops/drain/start"))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.Eventually(t, func() bool { return says("POST", "/ops/drain/stop") == 409 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, 200, says("POST", "/ops/drain/start"))
+	close(release)
+	body, err := io.ReadAll(held.Body)
+	require.NoError(t, err)
+	require.True(t, strings.Contains(string(body), "[DONE]"))
+	require.NoError(t, <-exit)
+	require.Zero(t, says("GET", "/ops/readiness"), "nobody listens any longer")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"standpoint/internal/config"
 	"standpoint/internal/edge"
+	"standpoint/internal/figures"
 	"standpoint/internal/node"
 	"standpoint/internal/settings"
 )
@@ -57,10 +58,12 @@
 	if err != nil {
 		return &Faulty{err}
 	}
-	a := &assembly{deployment: d, now: d, file: o.File, wishes: make(chan settingsWish), base: baseOf(o.File), log: o.Log, level: zap.NewAtomicLevel(), life: &node.Life{}}
+	a := &assembly{deployment: d, now: d, file: o.File, wishes: make(chan settingsWish), orders: make(chan order), base: baseOf(o.File), log: o.Log, level: zap.NewAtomicLevel(), life: &node.Life{}}
 	if a.log == nil {
 		a.log = newLog(d.logging(), a.level)
 	}
+	_, names, _ := d.told()
+	a.figures = figures.New(names.Classes, func() int { return a.core.Open() })
 	table := platformParts
 	if d.operator != nil {
 		table = operatorParts
@@ -118,6 +121,8 @@
 			return err
 		case <-hangup:
 			_ = a.takeOn(o.File, room, log) // logged, and nothing has changed
+		case o := <-a.orders:
+			o.done <- a.sendAway(o.away, room, log)
 		case w := <-a.wishes:
 			w.done <- a.carryOut(w, o.File, room, log)
 		}
@@ -135,11 +140,11 @@
 }
 
 func fromPlatform(cfg config.Platform) deployment {
-	return deployment{name: cfg.Name, listen: cfg.Listen, limits: cfg.Limits, killed: cfg.Killed(), platform: &cfg}
+	return deployment{name: cfg.Name, listen: cfg.Listen, console: cfg.Console, limits: cfg.Limits, killed: cfg.Killed(), platform: &cfg}
 }
 
 func fromOperator(cfg config.Operator) deployment {
-	return deployment{name: cfg.Name, listen: cfg.Listen, limits: cfg.Bounds, operator: &cfg}
+	return deployment{name: cfg.Name, listen: cfg.Listen, console: cfg.Console, limits: cfg.Bounds, operator: &cfg}
 }
 
 // takeOn reads the configuration again and takes it on in all parts, or in none.
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -18,6 +18,7 @@
 	"standpoint/internal/discovery"
 	"standpoint/internal/edge"
 	"standpoint/internal/entries"
+	"standpoint/internal/figures"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
 	"standpoint/internal/realserver"
@@ -43,11 +44,11 @@
 // deployment is what the daemon was told: by the platform's variables, or by an operator's file. Exactly one of
 // the two pointers is set.
 type deployment struct {
-	name, listen string
-	limits       config.Limits
-	killed       time.Duration // after SIGTERM, at the earliest; 0: never
-	platform     *config.Platform
-	operator     *config.Operator
+	name, listen, console string
+	limits                config.Limits
+	killed                time.Duration // after SIGTERM, at the earliest; 0: never
+	platform              *config.Platform
+	operator              *config.Operator
 }
 
 // assembly is what the parts share while they are put together, in the order of their table.
@@ -76,6 +77,8 @@
 	wishes     chan settingsWish    // about that
 	registry   *prometheus.Registry // nil: no metrics
 	metrics    *discovery.Metrics
+	figures    *figures.Figures
+	orders     chan order   // of staff, about the phase
 	settled    sync.Mutex   // held while the core's settings are put together
 	inForce    deployment   // what they come from
 	nodes      atomic.Int64 // by which the module divides; 0: as the deployment says
@@ -96,10 +99,10 @@
 type constructor func(*assembly) (part, error)
 
 // platformParts is the daemon on the platform.
-var platformParts = []constructor{memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
+var platformParts = []constructor{consolePart, memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
 
 // operatorParts is the daemon as an operator's file says.
-var operatorParts = []constructor{storePart, registryPart, fleetPart, poolsPart, operatorEntriesPart, corePart, peersPart,
+var operatorParts = []constructor{consolePart, storePart, registryPart, fleetPart, poolsPart, operatorEntriesPart, corePart, peersPart,
 	edgePart, batchPart, agreePart, settingsPart, controlPart, metricsPart}
 
 // assemble runs a table of constructors. On a failure what was opened is closed again.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -61,7 +61,7 @@
 
 func fleetPart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), Log: a.log}
+	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), Wrote: a.figures.Wrote, Log: a.log}
 	if a.operator != nil {
 		b := a.operator.BatchServer
 		o.Batch = realserver.BatchOptions{Gather: time.Duration(b.Gather), Lines: b.Lines, Poll: time.Duration(b.Poll),
@@ -103,14 +103,14 @@
 func corePart(a *assembly) (part, error) {
 	settings, _, seed := a.told()
 	a.core = node.New(node.Options{Settings: settings, Seed: seed, MaxFlows: a.limits.Flows(), Servers: a.fleet,
-		Entries: a.source, Pools: a.pools, Log: a.log})
+		Entries: a.source, Pools: a.pools, Figures: a.figures, Log: a.log})
 	a.inForce = a.deployment
 	return part{name: "core", run: a.core.Run, reload: func(next deployment) { a.adjust(&next) }}, nil
 }
 
 func edgePart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Bodies: node.NewShares(a.limits.Bodies(), len(names.Tenants)), Log: a.log}
+	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Bodies: node.NewShares(a.limits.Bodies(), len(names.Tenants)), Figures: a.figures, Log: a.log}
 	return part{name: "edge", reload: func(next deployment) {
 		_, names, _ := next.told()
 		a.front.Rename(names)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 
 	"standpoint"
 	"standpoint/internal/config"
+	"standpoint/internal/figures"
 	"standpoint/internal/node"
 )
 
@@ -32,6 +33,7 @@
 	writeTime  = 4 * time.Second       // for which a client may keep its answer waiting, in all
 	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
+	awayTime   = 1900 * time.Millisecond // after staff sent clients away, from when those who come all the same are turned down
 	chatTarget = "/v1/chat/completions"
 )
 
@@ -41,6 +43,7 @@
 	Life    *node.Life
 	Names   config.Names
 	Bodies  *node.Shares // bytes of the bodies that are held at once
+	Figures *figures.Figures
 	Log     *zap.Logger
 	ids     ids
 	indexes atomic.Pointer[indexes]
@@ -74,6 +77,9 @@
 // Rename changes the names that requests may give, from the next request on.
 func (f *Front) Rename(names config.Names) {
 	f.indexes.Store(&indexes{index(names.Classes), index(names.Tenants)})
+	if f.Figures != nil {
+		f.Figures.Rename(names.Classes)
+	}
 }
 
 func index(names []string) map[string]int {
@@ -85,13 +91,22 @@
 }
 
 func (f *Front) health(w http.ResponseWriter, _ *http.Request) {
-	if phase := f.Life.Now(); phase != node.Serving {
+	phase := f.Life.Now()
+	f.parting(w, phase)
+	if phase != node.Serving && phase != node.HandingOver { // handing over, it is another process of this node that serves
 		refuse(w, http.StatusServiceUnavailable, "node is "+phase.String())
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// parting has an answer end its connection once clients are to go elsewhere: they would go on using those that stay open.
+func (f *Front) parting(w http.ResponseWriter, phase node.Phase) {
+	if phase > node.Serving {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // refuse writes a small answer in the form that clients of the chat API read.
 func refuse(w http.ResponseWriter, status int, text string) {
 	var body struct {
@@ -127,10 +142,7 @@
 func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	control := http.NewResponseController(w)
-	if f.Life.Now() >= node.Draining {
-		// Kept connections would go on bringing requests until this node is killed.
-		w.Header().Set("Connection", "close")
-	}
+	f.parting(w, f.Life.Now())
 	request, err := f.decode(r, began)
 	if err == nil {
 		of := &counted{ReadCloser: r.Body, bodies: f.Bodies, tenant: request.Tenant}
@@ -143,6 +155,12 @@
 			c.bound(&request)
 			// readTime is for the request; from here on the server must be able to notice a client that leaves.
 			_ = control.SetReadDeadline(time.Time{})
+			phase, since := f.Life.Since()
+			if f.parting(w, phase); phase == node.DrainedByHand && time.Since(since) > awayTime {
+				f.ended(r, figures.Busy)
+				turnDown(w, busyWait)
+				return
+			}
 			trace := r.Header.Get("X-Trace-Id")
 			if f.ids.open(trace, began) {
 				defer f.ids.close(trace)
@@ -153,6 +171,7 @@
 		}
 	}
 	if errors.Is(err, errFull) {
+		f.ended(r, figures.Busy)
 		w.Header().Set("Connection", "close") // the rest of its body is not read
 		turnDown(w, busyWait)
 		return
@@ -164,10 +183,18 @@
 	if bad.status == http.StatusLengthRequired || bad.status == http.StatusRequestTimeout {
 		w.Header().Set("Connection", "close") // where its body ends is not to be trusted
 	}
+	f.ended(r, figures.Failure)
 	f.Log.Info("malformed request", zap.String("fault", bad.text))
 	refuse(w, bad.status, bad.text)
 }
 
+// ended counts a request that is answered before it is a flow, where its class is known.
+func (f *Front) ended(r *http.Request, e figures.End) {
+	if class, ok := f.indexes.Load().classes[r.Header.Get("X-Qos")]; ok {
+		f.Figures.Ended(class, e)
+	}
+}
+
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, control *http.ResponseController,
 	request standpoint.Request, body []byte) {
 	work := node.Work{Method: r.Method, Target: r.URL.RequestURI(), TraceID: r.Header.Get("X-Trace-Id"),
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -17,6 +17,10 @@
 	// and hundreds may connect together to say nothing.
 	silentTime = 250 * time.Millisecond
 	roomLook   = 20 * time.Millisecond // between two looks for a place while there is none
+	// Once clients are sent away a connection that rests for so long is closed. Those kept rest at least as long after the
+	// word, so that their clients, who connect anew at once, do not come back before the front has noticed.
+	awayRest = 400 * time.Millisecond
+	awayLook = 50 * time.Millisecond
 )
 
 // Room is the listener's side of the edge connections: it keeps them within their share of the descriptors.
@@ -32,7 +36,8 @@
 
 	mu      sync.Mutex
 	places  map[*place]bool
-	leaving int // of these, those asked to go
+	leaving int           // of these, those asked to go
+	away    chan struct{} // closed when clients need not go any longer; nil: they need not
 	said    time.Time
 	log     *zap.Logger
 }
@@ -69,6 +74,51 @@
 		freed: make(chan struct{}, 1), places: map[*place]bool{}}
 }
 
+// SendAway has connections that rest end, until it is told that clients may stay.
+func (r *Room) SendAway(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case on && r.away == nil:
+		r.away = make(chan struct{})
+		go r.sweep(time.Now(), r.away)
+	case !on && r.away != nil:
+		close(r.away)
+		r.away = nil
+	}
+}
+
+func (r *Room) sweep(from time.Time, end <-chan struct{}) {
+	tick := time.NewTicker(awayLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-end:
+			return
+		case <-r.closed:
+			return
+		case now := <-tick.C:
+			if now.Sub(from) < awayRest {
+				continue
+			}
+			r.mu.Lock()
+			for p := range r.places {
+				if !p.busy && !p.leaving && now.Sub(p.since) >= awayRest {
+					r.ask(p, now)
+				}
+			}
+			r.mu.Unlock()
+		}
+	}
+}
+
+// ask has a connection that rests end. It is not closed: a request that the server has begun to read is still answered.
+func (r *Room) ask(p *place, now time.Time) {
+	p.leaving = true
+	r.leaving++
+	_ = p.SetReadDeadline(now)
+}
+
 // Resize changes how many connections there may be.
 func (r *Room) Resize(most int) {
 	r.mu.Lock()
@@ -118,10 +168,7 @@
 		}
 		slices.SortFunc(rests, func(a, b *place) int { return a.since.Compare(b.since) })
 		for _, p := range rests[:min(len(rests), short+1)] {
-			p.leaving = true
-			r.leaving++
-			// Not Close: a request that the server has begun to read is still answered.
-			_ = p.SetReadDeadline(now)
+			r.ask(p, now)
 		}
 	}
 	if len(r.places) < r.most {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/figures"
 )
 
 // ServiceEntry is one line of discovery's list: the module's engine and where this node reaches it.
@@ -78,6 +79,9 @@
 // timersLeast is how many timers there may be before those are looked for that nothing waits for any more.
 const timersLeast = 1024
 
+// censusEvery is the pause between two looks at how many real servers the module avoids.
+const censusEvery = 100 * time.Millisecond
+
 // handBackWait is when a client should come again whose flow was handed back; by then it finds another node.
 const handBackWait = 300 * time.Millisecond
 
@@ -88,7 +92,8 @@
 	MaxFlows int
 	Servers  RealServers
 	Entries  Entries
-	Pools    Pools // nil: none
+	Pools    Pools            // nil: none
+	Figures  *figures.Figures // nil: none
 	Log      *zap.Logger
 }
 
@@ -106,6 +111,7 @@
 	nextID  int64
 	places  *Shares
 	start   time.Time
+	census  int64 // when the real servers were last counted
 }
 
 // Messages of the mailbox.
@@ -180,8 +186,22 @@
 // Open is the number of flows that wait for their answer.
 func (c *Core) Open() int { return c.places.Taken() }
 
-// Serve takes a flow on and returns its one final answer. When ctx ends, the client has gone.
+// Serve takes a flow on and returns its one final answer. When ctx ends, the client has gone. It is here that the end
+// of every flow is counted.
 func (c *Core) Serve(ctx context.Context, f *Flow) (Answer, error) {
+	a, err := c.serve(ctx, f)
+	switch {
+	case err != nil || a.Kind == TurnedDown:
+		c.Figures.Ended(f.Request.Class, figures.Busy)
+	case a.Kind == Served:
+		c.Figures.Ended(f.Request.Class, figures.Success)
+	case a.Kind != ClientGone:
+		c.Figures.Ended(f.Request.Class, figures.Failure)
+	}
+	return a, err
+}
+
+func (c *Core) serve(ctx context.Context, f *Flow) (Answer, error) {
 	if !c.places.Take(f.Request.Tenant, 1) {
 		return Answer{}, ErrBusy
 	}
@@ -220,6 +240,10 @@
 				c.decide(&standpoint.TimerFired{Token: t.token})
 			}
 		}
+		if now := c.clock(); now-c.census >= int64(censusEvery) {
+			c.census = now
+			c.Figures.Servers(c.router.Census())
+		}
 	}
 }
 
--- a/internal/node/phase.go
+++ b/internal/node/phase.go
@@ -2,43 +2,64 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
+	"time"
 )
 
-// Phase is a named state of the program, from start to exit.
+// Phase is a named state of the program, from start to exit. What the edge does in each stands in
+// docs/architecture.md.
 type Phase int
 
 const (
-	Starting Phase = iota // the list is being seeded; clients are not admitted yet
-	Serving
-	Draining // told to stop: takes what still comes, answers all of it
+	Starting      Phase = iota // the list is being seeded; clients are not admitted yet
+	Serving                    //
+	DrainedByHand              // staff send clients away; there is a way back
+	HandingOver                // told to stop while another process of this node serves at the same socket
+	Draining                   // told to stop: takes what still comes, answers all of it
 	Stopped
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "stopped"}[p]
+	return [...]string{"starting", "serving", "drained by hand", "handing over", "draining", "stopped"}[p]
 }
 
-// Life holds the program's phase. Phases only move forward.
+// follows says from which phases each may be entered.
+var follows = [...][]Phase{
+	Serving:       {Starting, DrainedByHand},
+	DrainedByHand: {Serving},
+	HandingOver:   {Serving, DrainedByHand},
+	Draining:      {Starting, Serving, DrainedByHand},
+	Stopped:       {Starting, Serving, DrainedByHand, HandingOver, Draining},
+}
+
+// Life holds the program's phase.
 type Life struct {
 	mu    sync.Mutex
 	phase Phase
+	since time.Time
 }
 
 // Now returns the present phase.
 func (l *Life) Now() Phase {
+	p, _ := l.Since()
+	return p
+}
+
+// Since returns the present phase and when it was entered.
+func (l *Life) Since() (Phase, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.phase
+	return l.phase, l.since
 }
 
-// Move enters a later phase.
+// Move enters another phase.
 func (l *Life) Move(to Phase) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if to <= l.phase {
+	if !slices.Contains(follows[to], l.phase) {
 		return fmt.Errorf("phase %v cannot follow %v", to, l.phase)
 	}
-	l.phase = to
+	l.phase, l.since = to, time.Now()
 	return nil
 }
--- a/internal/realserver/batchserver.go
+++ b/internal/realserver/batchserver.go
@@ -133,6 +133,11 @@
 		s.endAll(p, standpoint.TurnedAway, err)
 		return
 	}
+	if s.Wrote != nil {
+		for range p.attempts {
+			s.Wrote()
+		}
+	}
 	final, err := s.follow(base, made.ID, p)
 	if err != nil {
 		s.endAll(p, standpoint.ConnectionLost, err)
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -12,6 +12,8 @@
 // lastChunk ends an answer. It cannot stand inside one: events hold no carriage returns.
 const lastChunk = "\r\n0\r\n\r\n"
 
+const headEnd = "\r\n\r\n"
+
 var errSpent = errors.New("the connection holds what no request asked for, or its end")
 
 // keep is for how long links to a real server are used again after they rested. The server may drop one without a
@@ -46,8 +48,9 @@
 // answer to the next request: http.Transport looks for that only once nobody waits for a connection.
 type link struct {
 	net.Conn
-	keep *keep
-	most time.Duration // that it may rest
+	keep  *keep
+	most  time.Duration // that it may rest
+	wrote func()        // called once a request's last byte is written; nil: nobody counts
 
 	mu       sync.Mutex
 	starts   bool          // the next write begins a request
@@ -58,7 +61,8 @@
 	ended    bool          // the answer's last chunk has come, and no request since
 	spent    bool          // of no further use
 	broken   bool          // the connection has failed or ended
-	unsent   bool          // a write failed: the request's last byte is not out
+	headEnd  int           // of the request's head, bytes of headEnd seen in a row
+	owed     int           // bytes of the request that are not written; its head counts as one until its end
 }
 
 // Read hands on the answer and nothing behind it.
@@ -93,11 +97,38 @@
 	return n, err
 }
 
-// begin tells that the next write is a request's first. A server may answer before the last.
-func (l *link) begin() {
+// begin tells that the next write is the first of a request with such a body. A server may answer before the last.
+func (l *link) begin(body int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.starts = true
+	l.starts, l.headEnd, l.owed = true, 0, 1+body
+}
+
+// note follows a request that is written to its last byte, which alone says that it may run: http.Transport says that a
+// request is written when it stands in its buffer. It tells whether that byte was among these.
+func (l *link) note(b []byte) bool {
+	if l.owed == 0 {
+		return false
+	}
+	for i := 0; i < len(b) && l.headEnd < len(headEnd); i++ {
+		switch {
+		case b[i] == headEnd[l.headEnd]:
+			l.headEnd++
+		case b[i] == '\r':
+			l.headEnd = 1
+		default:
+			l.headEnd = 0
+		}
+		if l.headEnd == len(headEnd) {
+			b = b[i+1:]
+			l.owed--
+			break
+		}
+	}
+	if l.headEnd == len(headEnd) {
+		l.owed = max(0, l.owed-len(b))
+	}
+	return l.owed == 0
 }
 
 // Write begins a request only where nothing waits to be read, not even the connection's end. One that is not
@@ -115,7 +146,6 @@
 			l.spent = l.spent || l.rest > l.keep.now(l.most) || l.stirring()
 		}
 		l.starts, l.answered, l.matched, l.ended = false, false, 0, false
-		l.unsent = l.spent
 	}
 	spent := l.spent
 	l.mu.Unlock()
@@ -123,20 +153,20 @@
 		return 0, errSpent
 	}
 	n, err := l.Conn.Write(b)
-	if err != nil {
-		l.mu.Lock()
-		l.unsent = true
-		l.mu.Unlock()
+	l.mu.Lock()
+	whole := l.note(b[:n])
+	l.mu.Unlock()
+	if whole && l.wrote != nil {
+		l.wrote()
 	}
 	return n, err
 }
 
-// sent tells that no write of the request failed. http.Transport says that a request is written when it stands in
-// its buffer.
+// sent tells that the request's last byte is written.
 func (l *link) sent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.unsent
+	return l.owed == 0
 }
 
 // stirring looks, without waiting or taking anything, whether the socket has bytes or its end to read.
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -43,6 +43,7 @@
 	ConnIdle    time.Duration // the server closes a connection left idle for this long
 	MaxIdle     int           // connections kept to one real server between requests
 	Batch       BatchOptions  // for the real servers that take files
+	Wrote       func()        // an attempt is written whole; nil: nobody counts
 	Log         *zap.Logger
 }
 
@@ -206,7 +207,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &link{Conn: c, keep: k, most: o.ConnIdle / 2}, nil
+			return &link{Conn: c, keep: k, most: o.ConnIdle / 2, wrote: o.Wrote}, nil
 		},
 		MaxResponseHeaderBytes: headMost,
 		// Half of the server's own idle time: a request written to a connection that the server is closing
@@ -255,18 +256,16 @@
 
 // once sends the request over one connection, a kept one where there is one, and carries its answer.
 func (s *server) once(transport *http.Transport, address string, a *node.Attempt) (result node.Result, kept bool, err error) {
-	var wrote atomic.Bool
 	var used atomic.Pointer[link]
 	// Whether the request may have run is told by its last byte: before that is written no server starts.
 	ctx := httptrace.WithClientTrace(a.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			kept = info.Reused
 			if l, ok := info.Conn.(*link); ok {
-				l.begin()
+				l.begin(len(a.Flow.Work.Body))
 				used.Store(l)
 			}
-		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) }})
+		}})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	request, err := newRequest(ctx, address, a)
@@ -279,7 +278,7 @@
 		if l != nil && kept {
 			l.dropped()
 		}
-		return node.Result{Code: failure(ctx, wrote.Load() && l != nil && l.sent(), l)}, kept, err
+		return node.Result{Code: failure(ctx, l != nil && l.sent(), l)}, kept, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusOK {
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -24,6 +24,7 @@
 	"standpoint"
 	"standpoint/internal/config"
 	"standpoint/internal/edge"
+	"standpoint/internal/figures"
 	"standpoint/internal/node"
 	"standpoint/internal/realserver"
 )
@@ -47,6 +48,7 @@
 	Life    *node.Life
 	Room    *edge.Room
 	Bodies  *node.Shares
+	Figures *figures.Figures
 	Server  *http.Server
 	URL     string // of its edge
 	Address string
@@ -69,7 +71,9 @@
 		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
 	n := &Node{Life: &node.Life{}, t: t}
-	n.Core = node.New(node.Options{Settings: settings, Seed: 1, MaxFlows: 300, Servers: fleet, Entries: noEntries{}, Log: log})
+	n.Figures = figures.New(Names.Classes, func() int { return n.Core.Open() })
+	fleet.Wrote = n.Figures.Wrote
+	n.Core = node.New(node.Options{Settings: settings, Seed: 1, MaxFlows: 300, Servers: fleet, Entries: noEntries{}, Figures: n.Figures, Log: log})
 	n.Tell(entries...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.Core.Run(ctx)
@@ -78,7 +82,7 @@
 	n.Address, n.URL = listener.Addr().String(), "http://"+listener.Addr().String()
 	n.Room = edge.NewRoom(listener, 300, log)
 	n.Bodies = node.NewShares(8<<20, 1)
-	n.Server = edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Log: log}).Handler(), n.Room, log)
+	n.Server = edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Figures: n.Figures, Log: log}).Handler(), n.Room, log)
 	go func() { _ = n.Server.Serve(n.Room) }()
 	t.Cleanup(func() {
 		n.Server.Close()
--- a/router.go
+++ b/router.go
@@ -495,12 +495,7 @@
 	if c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
 		return true
 	}
-	for _, a := range q.attempts {
-		if a.ran {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.ran })
 }
 
 // coldRoom tells whether the cold budget lets one more request go to a starting engine. All gateways see
@@ -556,12 +551,11 @@
 	var best *option
 	for i := range all {
 		o := &all[i]
-		switch {
-		case gate != nil && !gate(o):
-		case best == nil, o.ok && !best.ok:
-			best = o
-		case o.ok != best.ok:
-		case o.ok && o.head < best.head, !o.ok && o.head > best.head:
+		if gate != nil && !gate(o) {
+			continue
+		}
+		better := best == nil || o.ok && !best.ok
+		if better || o.ok == best.ok && (o.ok && o.head < best.head || !o.ok && o.head > best.head) {
 			best = o
 		}
 	}
@@ -891,9 +885,14 @@
 	}
 }
 
+// avoids tells that an engine gets nothing, or nothing but trials.
+func (r *Router) avoids(e *engine, ignore bool) bool {
+	return e.told || e.suspect && (e.down || !ignore)
+}
+
 // shut tells that a suspect engine is not due for a trial. One that is silent gets a single trial at a time.
 func (r *Router) shut(e *engine, ignore bool) bool {
-	return e.suspect && (e.down || !ignore) &&
+	return r.avoids(e, ignore) &&
 		(r.now-e.trialAt < trialEvery || len(e.waiting) > 0 && e.sour <= sourMost)
 }
 
--- a/state.go
+++ b/state.go
@@ -263,6 +263,22 @@
 	return now-a.sent > max(overdueLeast, int64(overdueTimes*a.ttft*1e9))
 }
 
+// Census counts the engines that are listed, and of these the ones that are avoided now: by what is told of them, or
+// by choice.
+func (r *Router) Census() (listed, avoided int) {
+	ignore := r.sharedTrouble()
+	for _, e := range r.engines {
+		if e.State == Gone {
+			continue
+		}
+		listed++
+		if r.avoids(e, ignore) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // Awaits tells that a timer's token still means something; the others may be forgotten.
 func (r *Router) Awaits(token int64) bool {
 	return token == tokenTick || r.open[token/tokenStep] != nil
