Engines out by hand, upgrades beside the running process, bodies in chunks

Change: entries.ByHand lays what staff decide over all sources; handover keeps it whole-or-not in TMPDIR, shared while processes overlap; inherited socket, phase 'handing over', limits for two, a whole list asked for before the new process serves.

--- a/api.go
+++ b/api.go
@@ -104,6 +104,7 @@
 	Size    float64 // registered size, no unit
 	ReadyAt int64   // last start; 0: long ago
 	Pool    int     // 0: none
+	Back    bool    // put back by hand, as started then: wanted in use again soon
 	Stale   bool    // last heard of long ago, and not told anew: tried last
 }
 
--- /dev/null
+++ b/internal/cli/upgrade_test.go
@@ -0,0 +1,210 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"standpoint/internal/testpeer"
+)
+
+// platform is what a node on the platform finds: its list, the clients' socket and its folder.
+type platform struct {
+	t         *testing.T
+	program   string
+	dir       string
+	listen    *net.TCPListener
+	discovery string
+}
+
+// process is one process of the node.
+type process struct {
+	*exec.Cmd
+	console string
+	said    *bytes.Buffer
+}
+
+func newPlatform(t *testing.T, boxes map[string]string) *platform {
+	p := &platform{t: t, program: build(t), dir: t.TempDir()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	p.listen = l.(*net.TCPListener)
+	var hosts []string
+	for name, address := range boxes {
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","class":"m","health":"ready","share":1}`, name, address))
+	}
+	p.discovery = testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") == "1" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"seq":1,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
+	})
+	return p
+}
+
+// start starts a process of the node; more are further variables.
+func (p *platform) start(more ...string) *process {
+	q := &process{console: testpeer.FreeAddress(p.t), said: &bytes.Buffer{}}
+	settings := map[string]any{"balancers": 1, "discovery": "on_request", "period": 2000000, "zones": []string{"a"}, "shapes": []string{"m"},
+		"classes": []any{map[string]any{"name": "chat", "onTime": 1e9, "hardLimit": 3e9, "worth": 1, "semantics": "safe", "streamed": true}},
+		"limits":  map[string]any{"cancel": true, "retryAfter": true, "maxRetryAfter": 2e9, "sendCap": 3},
+		"rules":   map[string]any{"askWithin": 10e9, "stopSendingWithin": 5e8}}
+	raw, err := json.Marshal(map[string]any{"name": "n", "listen": p.listen.Addr().String(), "discovery": p.discovery, "console": q.console,
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512}, "settings": settings})
+	require.NoError(p.t, err)
+	file := filepath.Join(p.t.TempDir(), "config.json")
+	require.NoError(p.t, os.WriteFile(file, raw, 0o600))
+	socket, err := p.listen.File()
+	require.NoError(p.t, err)
+	defer socket.Close()
+	q.Cmd = exec.Command(p.program)
+	q.ExtraFiles = []*os.File{socket}
+	q.Env = append(append(os.Environ(), "PROXY_CONFIG="+file, "TMPDIR="+p.dir, "PROXY_SOCKET_FD=3"), more...)
+	q.Stderr = q.said
+	require.NoError(p.t, q.Start())
+	p.t.Cleanup(func() {
+		_ = q.Process.Kill()
+		_ = q.Wait()
+	})
+	return q
+}
+
+// says asks a process's console; status 0: no answer.
+func (q *process) says(method, target string) (int, string) {
+	r, _ := http.NewRequest(method, "http://"+q.console+target, nil) // a constant form: cannot fail
+	response, err := (&http.Client{Timeout: time.Second}).Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+func (q *process) ready() bool {
+	status, _ := q.says("GET", "/ops/readiness")
+	return status == http.StatusOK
+}
+
+func (q *process) shows(line string) func() bool {
+	return func() bool {
+		_, text := q.says("GET", "/ops/stats")
+		return strings.Contains(text, line+"\n")
+	}
+}
+
+// A second process takes over beside the first, twice, under clients who never stop: each request has its one whole
+// answer and went out once; who is out by hand stays out, whichever process was told; one that cannot come up, for its
+// descriptor is none, says so and leaves the others serving.
+func TestUpgradeUnderClients(t *testing.T) {
+	ledger := testpeer.NewLedger()
+	boxes := map[string]string{}
+	var mu sync.Mutex
+	used := map[string]time.Time{}
+	for _, name := range []string{"box-1", "box-2", "box-3"} {
+		boxes[name] = testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			used[name] = time.Now()
+			mu.Unlock()
+			id := r.Header.Get("X-Trace-Id")
+			ledger.Begin(id)
+			testpeer.Event(w, id)
+			time.Sleep(20 * time.Millisecond) // the pace of a server, so that streams are under way at any time
+			testpeer.Finish(w)
+			ledger.End(id, true)
+		})
+	}
+	quietSince := func(name string, since time.Time) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return used[name].Before(since)
+	}
+	p := newPlatform(t, boxes)
+	address := p.listen.Addr().String()
+	first := p.start()
+	require.Eventually(t, first.ready, 10*time.Second, 5*time.Millisecond)
+
+	asking, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	var asked, turnedBack sync.Map
+	for c := range 4 {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for i := 0; asking.Err() == nil; i++ {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				response, err := client.Do(testpeer.Ask(t, address, id, "3000m"))
+				if err != nil {
+					turnedBack.Store(id, err)
+					continue
+				}
+				body, err := io.ReadAll(response.Body)
+				response.Body.Close()
+				if err != nil || response.StatusCode != http.StatusOK || !strings.Contains(string(body), "[DONE]") || !strings.Contains(string(body), id) {
+					turnedBack.Store(id, fmt.Sprint(response.StatusCode, err, string(body)))
+				}
+				asked.Store(id, true)
+			}
+		})
+	}
+	status, _ := first.says("POST", "/ops/engines/down?id=box-2")
+	require.Equal(t, http.StatusOK, status)
+	out := time.Now().Add(500 * time.Millisecond)
+	status, _ = first.says("POST", "/ops/engines/down?id=box-9")
+	require.Equal(t, http.StatusNotFound, status)
+
+	second := p.start()
+	require.Eventually(t, second.ready, 6*time.Second, 5*time.Millisecond)
+	require.Eventually(t, second.shows("app.hosts_down=1"), 2*time.Second, 5*time.Millisecond)
+	status, _ = first.says("POST", "/ops/engines/down?id=box-3")
+	require.Equal(t, http.StatusOK, status)
+	require.Eventually(t, second.shows("app.hosts_down=2"), time.Second, 5*time.Millisecond)
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, first.Wait(), first.said)
+	require.True(t, quietSince("box-2", out))
+
+	for _, bad := range []string{"77", "three", "1"} {
+		failing := p.start("PROXY_SOCKET_FD=" + bad)
+		require.Error(t, failing.Wait())
+		require.Equal(t, Faulty, failing.ProcessState.ExitCode())
+		require.Contains(t, failing.said.String(), "PROXY_SOCKET_FD: ")
+	}
+	require.True(t, second.ready())
+
+	third := p.start()
+	require.Eventually(t, third.ready, 6*time.Second, 5*time.Millisecond)
+	back := time.Now()
+	status, _ = second.says("POST", "/ops/engines/up?id=box-3")
+	require.Equal(t, http.StatusOK, status)
+	require.Eventually(t, third.shows("app.hosts_down=1"), time.Second, 5*time.Millisecond)
+	require.NoError(t, second.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, second.Wait(), second.said)
+	require.Eventually(t, func() bool { return !quietSince("box-3", back) }, 5*time.Second, 5*time.Millisecond)
+	require.True(t, quietSince("box-2", out), "out over two upgrades")
+	stop()
+	clients.Wait()
+	turnedBack.Range(func(id, what any) bool {
+		t.Errorf("%v: %v", id, what)
+		return true
+	})
+	require.Equal(t, 1, ledger.Most)
+	asked.Range(func(id, _ any) bool {
+		require.Equal(t, 1, ledger.Sent[id.(string)], "%v", id)
+		return true
+	})
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -31,6 +31,12 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// Among are the bounds of one of so many processes that share a machine.
+func (l Limits) Among(processes int) Limits {
+	l.MemoryMB, l.Sockets = l.MemoryMB/processes, l.Sockets/processes
+	return l
+}
+
 // EdgeConnections is the clients' part of the descriptors. They hold at most a third for requests; the rest is
 // for connections that rest between requests.
 func (l Limits) EdgeConnections() int { return l.Sockets * 58 / 100 }
@@ -51,6 +57,7 @@
 type Platform struct {
 	Name, Listen, Discovery string
 	Console                 string // where staff call; "": nowhere
+	Socket                  int    // the descriptor of the clients' listening socket, inherited; 0: none is
 	Seed                    int64
 	Limits                  Limits
 	PeerListen, PeersAll    string
@@ -144,6 +151,12 @@
 			return p, fmt.Errorf("%s: %q is no host:port address", v.key, v.address)
 		}
 	}
+	if s := getenv("PROXY_SOCKET_FD"); s != "" {
+		var err error
+		if p.Socket, err = strconv.Atoi(s); err != nil || p.Socket < 3 {
+			return p, fmt.Errorf("PROXY_SOCKET_FD: %q is no descriptor from 3 on", s)
+		}
+	}
 	if w.Seed != "" {
 		seed, err := strconv.ParseUint(w.Seed, 16, 64)
 		if err != nil {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -80,10 +80,8 @@
 			return do(ctx, id)
 		}
 	}
-	if n.Down != nil {
-		order("/ops/engines/down", named(n.Down))
-		order("/ops/engines/up", named(n.Up))
-	}
+	order("/ops/engines/down", named(n.Down))
+	order("/ops/engines/up", named(n.Up))
 	order("/ops/drain/start", func(ctx context.Context, _ *http.Request) error { return n.Drain(ctx, true) })
 	order("/ops/drain/stop", func(ctx context.Context, _ *http.Request) error { return n.Drain(ctx, false) })
 	whole := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/daemon/company.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"standpoint/internal/edge"
+	"standpoint/internal/handover"
+	"standpoint/internal/node"
+)
+
+const (
+	companyLook = 100 * time.Millisecond  // between two looks for another process of this node, and for what it was told
+	awaitList   = 1500 * time.Millisecond // for the first list
+	partTime    = 600 * time.Millisecond  // after which only those connections are open that have an answer under way, or rest
+	leaveMargin = 100 * time.Millisecond  // before the kill, when this process is gone whatever hangs
+)
+
+// meet looks for other processes of this node, where staff may start a second one beside the first: both find each other
+// in the folder that they share.
+func (a *assembly) meet() {
+	dir := os.Getenv("TMPDIR")
+	if dir == "" || a.console == "" && !a.inherits() {
+		return
+	}
+	var err error
+	if a.share, err = handover.Open(dir, a.name); err != nil {
+		a.log.Error("TMPDIR: what processes of this node should share cannot be kept there", zap.Error(err))
+		return
+	}
+	a.others = a.share.Others()
+	a.limits = a.whole.Among(1 + a.others)
+	a.now.limits = a.limits
+}
+
+// inherits tells that the platform holds the clients' listening socket.
+func (a *assembly) inherits() bool { return a.platform != nil && a.platform.Socket != 0 }
+
+// companyPart looks out for the other processes, and takes in what they were told.
+func companyPart(a *assembly) (part, error) {
+	if a.share == nil {
+		return part{}, nil
+	}
+	known := a.others
+	return part{name: "company", run: func(ctx context.Context) {
+		tick := time.NewTicker(companyLook)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			a.byHand.Sync()
+			n := a.share.Others()
+			if n == known {
+				continue
+			}
+			if n > known {
+				a.byHand.Keep()
+			}
+			known = n
+			select {
+			case a.company <- n:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}, stop: a.share.Close}, nil
+}
+
+// among divides the node's limits among its processes.
+func (a *assembly) among(others int, room *edge.Room, log *zap.Logger) {
+	a.others = others
+	next := a.now
+	next.limits = next.whole.Among(1 + others)
+	if err := a.reload(next); err != nil {
+		log.Error("the limits stay as they were", zap.Error(err))
+		return
+	}
+	confine(next.limits)
+	room.Resize(next.limits.EdgeConnections())
+	log.Info("processes of this node beside this one", zap.Int("others", others), zap.Any("limits", next.limits))
+}
+
+// listener is the clients' listening socket: the one that the platform holds, or a new one.
+func (a *assembly) listener() (net.Listener, error) {
+	if !a.inherits() {
+		l, err := net.Listen("tcp", a.listen)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	l, err := inherited(a.platform.Socket, a.listen)
+	if err != nil {
+		return nil, &Faulty{fmt.Errorf("PROXY_SOCKET_FD: %w", err)}
+	}
+	return l, nil
+}
+
+// inherited takes a descriptor for what it should be. Whether it is one is asked before anything is done with it: a number
+// that was not handed down may be a descriptor of this program's own.
+func inherited(fd int, address string) (net.Listener, error) {
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
+		return nil, fmt.Errorf("descriptor %d is no listening socket", fd)
+	}
+	file := os.NewFile(uintptr(fd), "clients")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	if want, err := net.ResolveTCPAddr("tcp", address); err != nil || l.Addr().String() != want.String() {
+		l.Close()
+		return nil, fmt.Errorf("descriptor %d listens at %v, not at %s", fd, l.Addr(), address)
+	}
+	return l, nil
+}
+
+// await waits, for a bounded time, for the first word of the list's source: where another process serves meanwhile, which
+// knows a newer list than this one was started with, and where this one was started with none, and could serve nobody.
+func (a *assembly) await(stop context.Context) {
+	if a.heard == nil || a.others == 0 && len(a.platform.Known) > 0 {
+		return
+	}
+	select {
+	case <-a.heard:
+	case <-time.After(awaitList):
+	case <-stop.Done():
+	}
+}
+
+// handOver leads the program to its end while another process serves at the same socket. It stops accepting before it
+// closes anything: what connects from then on is the other's.
+func (a *assembly) handOver(server *http.Server, room *edge.Room, killed time.Duration, log *zap.Logger) error {
+	if err := a.life.Move(node.HandingOver); err != nil {
+		return err
+	}
+	log.Info("handing over", zap.Int("open", a.core.Open()))
+	if err := room.Close(); err != nil {
+		log.Warn("the listening socket", zap.Error(err))
+	}
+	room.SendAway(true)
+	most := shutdownTime
+	if killed > 0 {
+		most = killed
+	}
+	defer time.AfterFunc(most-killMargin, func() { a.core.HandBack(true) }).Stop()
+	time.Sleep(partTime) // Shutdown ends at once what rests; a client that asks again and again leaves with its next answer
+	return a.shut(server, most-partTime-leaveMargin, log)
+}
--- a/internal/daemon/consolepart.go
+++ b/internal/daemon/consolepart.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"go.uber.org/zap"
 
 	"standpoint/internal/console"
 	"standpoint/internal/edge"
+	"standpoint/internal/entries"
 	"standpoint/internal/node"
 )
 
@@ -26,6 +28,8 @@
 	server, err := console.Listen(a.console, console.Node{
 		Ready:   func() bool { return a.life.Now() == node.Serving },
 		Figures: a.figures.Text,
+		Down:    a.byHandCommand(func(id string) error { return a.byHand.Down(id) }),
+		Up:      a.byHandCommand(func(id string) error { return a.byHand.Up(id) }),
 		Drain:   a.drainByHand,
 	}, a.log)
 	if err != nil {
@@ -37,9 +41,39 @@
 				a.log.Error("the console ended", zap.Error(err))
 			}
 		}()
+	}, run: func(ctx context.Context) {
+		for { // one command after the other; who has to wait too long goes away unheard
+			select {
+			case <-ctx.Done():
+				return
+			case do := <-a.commands:
+				do()
+			}
+		}
 	}, stop: server.Close}, nil
 }
 
+// byHandCommand makes a call of staff of what is to be done about a real server.
+func (a *assembly) byHandCommand(do func(id string) error) func(context.Context, string) error {
+	return func(ctx context.Context, id string) error {
+		done := make(chan error, 1)
+		select {
+		case a.commands <- func() { done <- do(id) }:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		select {
+		case err := <-done:
+			if errors.Is(err, entries.ErrNeverListed) {
+				return console.ErrUnknown
+			}
+			return err
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
 // drainByHand posts a wish of staff to Run's goroutine.
 func (a *assembly) drainByHand(ctx context.Context, away bool) error {
 	o := order{away, make(chan error, 1)}
--- a/internal/daemon/entriesparts.go
+++ b/internal/daemon/entriesparts.go
@@ -78,7 +78,7 @@
 	p.start = func(context.Context) {
 		if known, ok := a.keeper.Known(time.Now()); ok {
 			browsers.Known(known)
-			a.keeper.Tell(known, a.core.News)
+			a.news(known)
 		}
 	}
 	var next []*entries.Browser
--- a/internal/daemon/movesparts.go
+++ b/internal/daemon/movesparts.go
@@ -13,6 +13,7 @@
 	"standpoint/internal/control"
 	"standpoint/internal/mover"
 	"standpoint/internal/moves"
+	"standpoint/internal/node"
 )
 
 // Version is the daemon's own. A build may set it.
@@ -59,7 +60,7 @@
 			next <- to.operator.Plan
 			a.tracker.Adjust(to.operator)
 			// Placed anew: the parts behind this one tell their lists again, and so does the keeper.
-			a.keeper.Again(a.core.News)
+			a.keeper.Again(func(l node.List) { a.core.News(l) })
 		}}, nil
 }
 
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -19,6 +19,7 @@
 	"standpoint/internal/edge"
 	"standpoint/internal/entries"
 	"standpoint/internal/figures"
+	"standpoint/internal/handover"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
 	"standpoint/internal/realserver"
@@ -45,7 +46,8 @@
 // the two pointers is set.
 type deployment struct {
 	name, listen, console string
-	limits                config.Limits
+	limits                config.Limits // of this process
+	whole                 config.Limits // of the node, which may be two processes
 	killed                time.Duration // after SIGTERM, at the earliest; 0: never
 	platform              *config.Platform
 	operator              *config.Operator
@@ -68,6 +70,8 @@
 	core       *node.Core
 	source     sourceOfEntries
 	news       func(node.List)
+	heard      chan struct{} // closed once the source has told something; nil: it has no source that may be waited for
+	first      sync.Once
 	keeper     *entries.Keeper
 	front      *edge.Front
 	handlers   []prefixed // fronts besides the single requests'
@@ -78,10 +82,15 @@
 	registry   *prometheus.Registry // nil: no metrics
 	metrics    *discovery.Metrics
 	figures    *figures.Figures
-	orders     chan order   // of staff, about the phase
-	settled    sync.Mutex   // held while the core's settings are put together
-	inForce    deployment   // what they come from
-	nodes      atomic.Int64 // by which the module divides; 0: as the deployment says
+	byHand     *entries.ByHand
+	share      *handover.Share // what the processes of this node share; nil: nothing
+	others     int             // of those, that live beside this one; Run's goroutine alone has it
+	company    chan int        // and that number, when it changes
+	orders     chan order      // of staff, about the phase
+	commands   chan func()     // and about the real servers
+	settled    sync.Mutex      // held while the core's settings are put together
+	inForce    deployment      // what they come from
+	nodes      atomic.Int64    // by which the module divides; 0: as the deployment says
 }
 
 type sourceOfEntries interface {
@@ -99,10 +108,10 @@
 type constructor func(*assembly) (part, error)
 
 // platformParts is the daemon on the platform.
-var platformParts = []constructor{consolePart, memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
+var platformParts = []constructor{consolePart, companyPart, memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
 
 // operatorParts is the daemon as an operator's file says.
-var operatorParts = []constructor{consolePart, storePart, registryPart, fleetPart, poolsPart, operatorEntriesPart, corePart, peersPart,
+var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, operatorEntriesPart, corePart, peersPart,
 	edgePart, batchPart, agreePart, settingsPart, controlPart, metricsPart}
 
 // assemble runs a table of constructors. On a failure what was opened is closed again.
@@ -183,5 +192,6 @@
 	a.keeper = entries.NewKeeper(a.keys, a.log)
 	_, names, _ := a.told()
 	a.keeper.Names = entries.Names{Zones: names.Zones, Kinds: names.Kinds}
-	a.news = func(l node.List) { a.keeper.Tell(l, a.core.News) }
+	a.byHand = entries.NewByHand(a.keeper, func(l node.List) { a.core.News(l) }, a.share, a.log)
+	a.news = a.byHand.News
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -90,7 +90,14 @@
 		}
 	}
 	a.keep()
-	watcher := entries.NewWatcher(cfg.Discovery, names, seq, a.news, a.log)
+	a.heard = make(chan struct{})
+	watcher := entries.NewWatcher(cfg.Discovery, names, seq, func(l node.List) {
+		a.news(l)
+		a.first.Do(func() { close(a.heard) })
+	}, a.log)
+	if a.others > 0 { // who serves meanwhile knows a newer one than what this process was started with
+		watcher.Anew()
+	}
 	a.source = watcher
 	start := func(context.Context) { a.news(known) } // what this node last held; it may be old, and the first watch puts it right
 	return part{name: "service entries", start: start, run: together(a.keeper.Run, watcher.Run), reload: func(next deployment) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,10 +2,12 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -33,6 +35,7 @@
 	writeTime  = 4 * time.Second       // for which a client may keep its answer waiting, in all
 	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
+	partTime   = 100 * time.Millisecond  // for what is still on its way of a request that is refused
 	awayTime   = 1900 * time.Millisecond // after staff sent clients away, from when those who come all the same are turned down
 	chatTarget = "/v1/chat/completions"
 )
@@ -62,7 +65,8 @@
 		h.ServeHTTP(w, r)
 	})
 	return &http.Server{Handler: ending, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
-		ConnState: room.Note, ErrorLog: zap.NewStdLog(log)}
+		ConnState: room.Note, ErrorLog: zap.NewStdLog(log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, placeKey{}, c) }}
 }
 
 // Handler returns the front's HTTP handler.
@@ -180,8 +184,9 @@
 	if !errors.As(err, &bad) {
 		panic(http.ErrAbortHandler) // the client broke off its own request
 	}
-	if bad.status == http.StatusLengthRequired || bad.status == http.StatusRequestTimeout {
-		w.Header().Set("Connection", "close") // where its body ends is not to be trusted
+	if r.ContentLength < 0 || bad.status == http.StatusRequestTimeout {
+		w.Header().Set("Connection", "close") // where its body ends is not to be trusted, and the rest is not waited for
+		_ = control.SetReadDeadline(time.Now().Add(partTime))
 	}
 	f.ended(r, figures.Failure)
 	f.Log.Info("malformed request", zap.String("fault", bad.text))
@@ -308,6 +313,10 @@
 		return nil, c, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, c, &fault{http.StatusRequestEntityTooLarge, "body: larger than 256 KiB"}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, c, &fault{http.StatusRequestTimeout, "body: did not come in time"}
 	}
@@ -331,10 +340,8 @@
 		return q, &fault{http.StatusBadRequest, header + ": " + what}
 	}
 	h := r.Header
-	if r.ContentLength < 0 {
-		// net/http drops a Content-Length that stands beside a Transfer-Encoding, so the pair cannot be told from
-		// chunks alone, and may hide a second request in the body. Clients here know what they send.
-		return q, &fault{http.StatusLengthRequired, "Content-Length: missing, or beside a Transfer-Encoding"}
+	if r.ContentLength < 0 && !plainChunks(r) {
+		return q, &fault{http.StatusBadRequest, "Content-Length: beside a Transfer-Encoding"}
 	}
 	for _, name := range told {
 		if len(h[name]) > 1 {
--- a/internal/edge/operating_test.go
+++ b/internal/edge/operating_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -174,3 +175,59 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
 }
+
+// A request may come in pieces of any size, with its body in chunks, and is the same request; one that also tells a
+// length is not, however its head comes, nor is one whose head came in part behind the request before it.
+func TestRequestsInPieces(t *testing.T) {
+	bodies := make(chan string, 1)
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		bodies <- string(body)
+		testpeer.Event(w, "x")
+		testpeer.Finish(w)
+	})))
+	head := func(id, more string) string {
+		return "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + id + "\r\nX-Qos: chat\r\nX-Customer: acme\r\nX-Expires-In: 2000m\r\n" + more + "\r\n"
+	}
+	const body, chunks = `{"messages":[{"content":"hello"}]}`, "8\r\n{\"messag\r\n1a\r\nes\":[{\"content\":\"hello\"}]}\r\n0\r\n\r\n"
+	c := n.Dial()
+	in := bufio.NewReader(c)
+	write := func(text string, piece int) {
+		for i := 0; i < len(text); i += piece {
+			_, err := io.WriteString(c, text[i:min(len(text), i+piece)])
+			require.NoError(t, err)
+		}
+	}
+	answered := func() int {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+		response, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	for i, piece := range []int{1, 7, 1000} {
+		write(head(fmt.Sprint("chunks-", i), "Transfer-Encoding: chunked\r\n")+chunks, piece)
+		require.Equal(t, http.StatusOK, answered())
+		require.Equal(t, body, <-bodies)
+		write(head(fmt.Sprint("length-", i), fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body, piece)
+		require.Equal(t, http.StatusOK, answered())
+		require.Equal(t, body, <-bodies)
+	}
+	both := head("both", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + chunks
+	for piece := range 40 {
+		c = n.Dial()
+		in = bufio.NewReader(c)
+		write(both, piece+1)
+		require.Equal(t, http.StatusBadRequest, answered())
+	}
+	c = n.Dial()
+	in = bufio.NewReader(c)
+	cut := strings.Index(both, "Transfer")
+	write(head("first", fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body+both[:cut], 1000)
+	require.Equal(t, http.StatusOK, answered())
+	<-bodies
+	write(both[cut:], 1000)
+	require.Equal(t, http.StatusBadRequest, answered())
+	require.Empty(t, bodies)
+}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -48,6 +48,7 @@
 	heard         atomic.Bool // something has come on it
 	busy, leaving bool
 	asked         bool // a whole head has come on it
+	head          head // of the request that comes
 	since         time.Time
 }
 
@@ -56,6 +57,7 @@
 	if n > 0 && !p.heard.Load() {
 		p.heard.Store(true)
 	}
+	p.head.note(b[:n])
 	return n, err
 }
 
@@ -74,7 +76,7 @@
 		freed: make(chan struct{}, 1), places: map[*place]bool{}}
 }
 
-// SendAway has connections that rest end, until it is told that clients may stay.
+// SendAway has connections that rest end, until it is told that clients may stay, or the last one of a closed room went.
 func (r *Room) SendAway(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,8 +97,6 @@
 		select {
 		case <-end:
 			return
-		case <-r.closed:
-			return
 		case now := <-tick.C:
 			if now.Sub(from) < awayRest {
 				continue
@@ -107,7 +107,15 @@
 					r.ask(p, now)
 				}
 			}
+			last := len(r.places) == 0
 			r.mu.Unlock()
+			select {
+			case <-r.closed:
+				if last {
+					return
+				}
+			default:
+			}
 		}
 	}
 }
@@ -225,6 +233,7 @@
 		p.busy, p.asked, p.since = true, true, time.Now()
 	case http.StateIdle:
 		p.busy, p.since = false, time.Now()
+		p.head.next()
 	case http.StateClosed, http.StateHijacked:
 		delete(r.places, p)
 		select {
--- /dev/null
+++ b/internal/entries/byhand.go
@@ -0,0 +1,204 @@
+package entries
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"standpoint"
+	"standpoint/internal/handover"
+	"standpoint/internal/node"
+)
+
+// ErrNeverListed is the answer to a command about a real server that no source ever told of.
+var ErrNeverListed = errors.New("never listed")
+
+// ErrNotKept is the answer to a command that is carried out here, but could not be written where other processes of
+// this node, and the one after this, will look.
+var ErrNotKept = errors.New("carried out, but not kept for a process that takes over")
+
+const (
+	seenMost = 8192 // names that were ever listed; of more, the oldest are forgotten
+	backMost = 1024 // names that were put back; likewise
+)
+
+// ByHand is the overlay of what staff decide: whatever the sources tell of a real server that is out, the core is told
+// that it drains. It holds until the server is put back: over its end, its new start or address, and the end of any
+// source. Put back it is told of as started at that moment: cold, and nothing is believed of what it was.
+type ByHand struct {
+	keeper *Keeper
+	to     func(node.List)
+	share  *handover.Share // nil: nobody to share with
+	log    *zap.Logger
+
+	mu     sync.Mutex
+	record handover.Record
+	seen   map[string]bool // the names in record.Seen
+}
+
+// NewByHand makes the overlay over what the keeper is told, with what an earlier process left.
+func NewByHand(k *Keeper, to func(node.List), share *handover.Share, log *zap.Logger) *ByHand {
+	b := &ByHand{keeper: k, to: to, share: share, log: log, seen: map[string]bool{},
+		record: handover.Record{Down: map[string]int64{}, Back: map[string]int64{}}}
+	k.lay = b.lay
+	b.Sync()
+	return b
+}
+
+// News notes what a source tells, and hands it on as staff would have it.
+func (b *ByHand) News(l node.List) { b.keeper.Tell(l, b.to) }
+
+// lay is the list as staff would have it. The keeper calls it in the order of telling.
+func (b *ByHand) lay(l node.List) node.List {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	laid := node.List{Kind: l.Kind, Entries: slices.Clone(l.Entries)}
+	for i := range laid.Entries {
+		e := &laid.Entries[i]
+		b.note(e.Name)
+		if e.State == standpoint.Gone {
+			continue
+		}
+		if b.record.Down[e.Name] != 0 {
+			e.State = standpoint.Draining
+		} else if back := b.record.Back[e.Name]; back != 0 {
+			e.ReadyAt, e.Back = max(e.ReadyAt, back), true
+		}
+	}
+	return laid
+}
+
+// note remembers a name that was listed.
+func (b *ByHand) note(name string) {
+	if b.seen[name] {
+		return
+	}
+	if len(b.record.Seen) >= seenMost {
+		delete(b.seen, b.record.Seen[0])
+		b.record.Seen = b.record.Seen[1:]
+	}
+	b.seen[name] = true
+	b.record.Seen = append(b.record.Seen, name)
+}
+
+// Down takes a real server out, at once; it may be said again.
+func (b *ByHand) Down(name string) error {
+	return b.command(name, func(r *handover.Record, now int64) {
+		if r.Down[name] == 0 {
+			r.Down[name] = now
+		}
+		delete(r.Back, name)
+	})
+}
+
+// Up puts one back.
+func (b *ByHand) Up(name string) error {
+	return b.command(name, func(r *handover.Record, now int64) {
+		if r.Down[name] != 0 {
+			delete(r.Down, name)
+			r.Back[name] = now
+		}
+	})
+}
+
+// command carries out a change of one name: in the record that processes share, here, and in the core.
+func (b *ByHand) command(name string, change func(r *handover.Record, now int64)) error {
+	b.keeper.order.Lock()
+	defer b.keeper.order.Unlock()
+	b.mu.Lock()
+	known := b.seen[name] || b.record.Down[name] != 0
+	b.mu.Unlock()
+	if !known {
+		return fmt.Errorf("%w: %q", ErrNeverListed, name)
+	}
+	return b.change(func(r *handover.Record) { change(r, time.Now().UnixNano()) })
+}
+
+// change changes the record, in the shared file where there is one, and tells the core of what is different. The keeper's
+// order is held.
+func (b *ByHand) change(change func(*handover.Record)) error {
+	var err error
+	if b.share != nil {
+		var r handover.Record
+		if r, err = b.share.Update(func(r *handover.Record) {
+			change(r)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			theirs := slices.DeleteFunc(r.Seen, func(name string) bool { return b.seen[name] })
+			r.Seen = append(theirs, b.record.Seen...)
+			r.Seen = r.Seen[max(0, len(r.Seen)-seenMost):]
+		}); err == nil {
+			b.take(r)
+			return nil
+		}
+		b.log.Error("what staff decided is not kept for a process that takes over", zap.Error(err))
+		err = fmt.Errorf("%w: %w", ErrNotKept, err)
+	}
+	b.mu.Lock()
+	next := handover.Record{Down: maps.Clone(b.record.Down), Back: maps.Clone(b.record.Back), Seen: b.record.Seen}
+	b.mu.Unlock()
+	change(&next)
+	b.take(next)
+	return err
+}
+
+// take makes a record the one that holds, and tells the core anew of the names in which it differs.
+func (b *ByHand) take(r handover.Record) {
+	b.mu.Lock()
+	for len(r.Back) > backMost {
+		oldest := ""
+		for name, at := range r.Back {
+			if oldest == "" || at < r.Back[oldest] {
+				oldest = name
+			}
+		}
+		delete(r.Back, oldest)
+	}
+	was := b.record
+	b.record.Down, b.record.Back = r.Down, r.Back
+	for _, name := range r.Seen {
+		b.note(name)
+	}
+	b.mu.Unlock()
+	b.keeper.amend(func(name string) bool {
+		return was.Down[name] != r.Down[name] || r.Back[name] != 0 && was.Back[name] != r.Back[name]
+	}, b.to)
+}
+
+// Sync takes in what another process of this node was told, where there is news.
+func (b *ByHand) Sync() {
+	if b.share == nil {
+		return
+	}
+	b.keeper.order.Lock()
+	defer b.keeper.order.Unlock()
+	r, changed, err := b.share.Read()
+	if err != nil {
+		b.log.Error("the record that processes of this node share is not used", zap.Error(err))
+	}
+	if changed {
+		b.take(r)
+	}
+}
+
+// Keep writes down all that was ever listed, for a process that takes over.
+func (b *ByHand) Keep() {
+	if b.share == nil {
+		return
+	}
+	b.keeper.order.Lock()
+	defer b.keeper.order.Unlock()
+	_ = b.change(func(*handover.Record) {}) // logged
+}
+
+// Out is how many real servers are out by hand.
+func (b *ByHand) Out() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.record.Down)
+}
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -143,6 +143,9 @@
 		DisableCompression: true, MaxIdleConns: 2}}
 }
 
+// Anew has the first call ask for the whole list, however new the one that is held: the answer does not wait for a change.
+func (w *Watcher) Anew() { w.moved = true }
+
 // Watch asks for a standing watch, without waiting.
 func (w *Watcher) Watch() {
 	select {
--- a/internal/entries/keeper.go
+++ b/internal/entries/keeper.go
@@ -79,7 +79,8 @@
 
 	store store.Store
 	log   *zap.Logger
-	order sync.Mutex // held while a change is noted and handed on, so that both happen in one order
+	lay   func(node.List) node.List // what is handed on of what is told; nil: that itself
+	order sync.Mutex                // held while a change is noted and handed on, so that both happen in one order
 	mu    sync.Mutex
 	all   map[string]node.ServiceEntry
 	dirty chan struct{}
@@ -118,14 +119,29 @@
 	k.order.Lock()
 	defer k.order.Unlock()
 	k.Take(l)
-	to(l)
+	to(k.laid(l))
+}
+
+func (k *Keeper) laid(l node.List) node.List {
+	if k.lay == nil {
+		return l
+	}
+	return k.lay(l)
+}
+
+// amend hands on once more those that are listed of the names that the test lets through. The order is held.
+func (k *Keeper) amend(test func(string) bool, to func(node.List)) {
+	all := slices.DeleteFunc(k.sorted(), func(e node.ServiceEntry) bool { return !test(e.Name) })
+	if len(all) > 0 {
+		to(k.laid(node.List{Kind: standpoint.ListDelta, Entries: all}))
+	}
 }
 
 // Again hands the whole list on once more, as it was last told.
 func (k *Keeper) Again(to func(node.List)) {
 	k.order.Lock()
 	defer k.order.Unlock()
-	to(node.List{Kind: standpoint.ListFull, Entries: k.sorted()})
+	to(k.laid(node.List{Kind: standpoint.ListFull, Entries: k.sorted()}))
 }
 
 // Current is the list as last told, by name.
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,187 @@
+// Package handover is what the processes of one node share while one takes over from the other: a folder in which each
+// shows that it lives, and one record, written whole or not at all. It decides nothing.
+package handover
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	version   = 1
+	namesMost = 8192 // of each kind in a record
+	nameMost  = 256  // bytes of one
+	bytesMost = 8 << 20
+)
+
+// Record is what staff decided, and what is needed to go on by it.
+type Record struct {
+	Version int              `json:"version"`
+	Down    map[string]int64 `json:"down"` // real servers out by hand, and since when, Unix nanoseconds
+	Back    map[string]int64 `json:"back"` // those put back, and when
+	Seen    []string         `json:"seen"` // all that were ever listed, the latest last
+}
+
+// Decode reads a record. One that does not hold is not used at all.
+func Decode(raw []byte) (Record, error) {
+	var r Record
+	if len(raw) > bytesMost {
+		return Record{}, fmt.Errorf("the record has %d bytes, %d at most", len(raw), bytesMost)
+	}
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Record{}, fmt.Errorf("the record cannot be read: %w", err)
+	}
+	if r.Version != version {
+		return Record{}, fmt.Errorf("the record is of version %d, this program knows %d", r.Version, version)
+	}
+	for _, names := range [][]string{slices.Collect(maps.Keys(r.Down)), slices.Collect(maps.Keys(r.Back)), r.Seen} {
+		if len(names) > namesMost {
+			return Record{}, fmt.Errorf("the record has %d names of a kind, %d at most", len(names), namesMost)
+		}
+		if slices.ContainsFunc(names, func(n string) bool { return n == "" || len(n) > nameMost }) {
+			return Record{}, fmt.Errorf("the record has a name that is empty, or longer than %d bytes", nameMost)
+		}
+	}
+	return r.filled(), nil
+}
+
+func (r Record) filled() Record {
+	if r.Down == nil {
+		r.Down = map[string]int64{}
+	}
+	if r.Back == nil {
+		r.Back = map[string]int64{}
+	}
+	r.Version = version
+	return r
+}
+
+// Share is one process's side. It may be used from anywhere.
+type Share struct {
+	stem string // of the node's files
+	own  *os.File
+
+	mu   sync.Mutex
+	last fs.FileInfo // of the record that was read last
+}
+
+// Open shows that this process lives, in a folder that the processes of the named node share.
+func Open(dir, node string) (*Share, error) { return open(dir, node, os.Getpid()) }
+
+func open(dir, node string, pid int) (*Share, error) {
+	sum := sha256.Sum256([]byte(node))
+	s := &Share{stem: filepath.Join(dir, "standpoint-"+hex.EncodeToString(sum[:8]))}
+	own, err := os.OpenFile(fmt.Sprintf("%s.%d.live", s.stem, pid), os.O_CREATE|os.O_RDWR|unix.O_CLOEXEC, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(own.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", own.Name(), err), own.Close())
+	}
+	s.own = own
+	return s, nil
+}
+
+// Others is how many other processes of this node live. A process that died holds no lock; its file is taken away.
+func (s *Share) Others() int {
+	files, err := filepath.Glob(s.stem + ".*.live")
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, name := range files {
+		if name == s.own.Name() {
+			continue
+		}
+		f, err := os.OpenFile(name, os.O_RDWR|unix.O_CLOEXEC, 0)
+		if err != nil {
+			continue
+		}
+		if unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == nil {
+			_ = os.Remove(name)
+		} else {
+			n++
+		}
+		f.Close()
+	}
+	return n
+}
+
+// Read reads the record, and tells whether it is another than the one that was read last. Where there is none it is empty.
+func (s *Share) Read() (Record, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, err := os.Stat(s.path())
+	if errors.Is(err, fs.ErrNotExist) {
+		return Record{}.filled(), false, nil
+	}
+	if err != nil {
+		return Record{}, false, err
+	}
+	if s.last != nil && os.SameFile(s.last, now) && s.last.ModTime().Equal(now.ModTime()) && s.last.Size() == now.Size() {
+		return Record{}, false, nil
+	}
+	s.last = now
+	r, err := s.load()
+	return r, err == nil, err
+}
+
+func (s *Share) load() (Record, error) {
+	raw, err := os.ReadFile(s.path())
+	if errors.Is(err, fs.ErrNotExist) {
+		return Record{}.filled(), nil
+	}
+	if err != nil {
+		return Record{}, err
+	}
+	return Decode(raw)
+}
+
+// Update changes the record as it stands, and returns it. The lock keeps the other process from changing it meanwhile; a
+// record that cannot be read is replaced, for nothing of it is in use.
+func (s *Share) Update(change func(*Record)) (Record, error) {
+	lock, err := os.OpenFile(s.stem+".lock", os.O_CREATE|os.O_RDWR|unix.O_CLOEXEC, 0o600)
+	if err != nil {
+		return Record{}, err
+	}
+	defer lock.Close()
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		return Record{}, err
+	}
+	r, err := s.load()
+	if err != nil {
+		r = Record{}.filled()
+	}
+	change(&r)
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return Record{}, err
+	}
+	next := s.own.Name() + ".next"
+	if err := os.WriteFile(next, raw, 0o600); err != nil {
+		return Record{}, errors.Join(err, os.Remove(next))
+	}
+	return r, os.Rename(next, s.path()) // from here on it is there, whole
+}
+
+func (s *Share) path() string { return s.stem + ".by-hand.json" }
+
+// Close shows that this process is over.
+func (s *Share) Close() error {
+	err := os.Remove(s.own.Name())
+	if errors.Is(err, fs.ErrNotExist) {
+		err = nil // taken away by hand
+	}
+	return errors.Join(err, s.own.Close())
+}
--- a/router.go
+++ b/router.go
@@ -164,11 +164,14 @@
 	e := r.engines[entry.Name]
 	if e == nil || entry.ReadyAt != e.ReadyAt && entry.State == Ready {
 		// What is out at the process before stays with that one: its end tells nothing of this one.
-		e = &engine{hash: hashName(entry.Name), since: r.now, heard: r.now}
+		e = &engine{hash: hashName(entry.Name), since: r.now, heard: r.now, due: entry.Back}
 		r.engines[entry.Name] = e
 	}
 	if entry.ReadyAt != e.ReadyAt {
 		e.coldTokens, e.coldAt = r.rng.Float64(), r.now
+		if e.due {
+			e.coldTokens = (1 + e.coldTokens) / 2
+		}
 	}
 	e.Engine = entry
 	e.told = entry.State != Ready
@@ -306,7 +309,7 @@
 	e.sentTokens = r.sentUnread(e) + q.PromptTokens*(1-o.match)
 	e.sentAt = r.now
 	e.waiting = append(e.waiting, a)
-	e.trialAt = r.now
+	e.trialAt, e.due = r.now, false
 	if e.coldAt != 0 {
 		e.coldTokens--
 	}
@@ -590,6 +593,7 @@
 		some = prefer(some, func(e *engine) bool { return !q.tried(e) })
 	}
 	some = prefer(some, func(e *engine) bool { return !e.Stale })
+	some = prefer(some, func(e *engine) bool { return e.due })
 	if q.Pool != 0 { // a pool in which nothing will do falls over to the others at once
 		some = prefer(some, func(e *engine) bool { return e.Pool == q.Pool })
 	}
@@ -944,10 +948,8 @@
 // ---- probes ----
 
 func (r *Router) probe() {
-	if !r.set.Probes || r.set.Reports == ReportNone || len(r.ready) == 0 {
-		return
-	}
-	if r.rng.Float64() > min(1, r.rate*seconds(tickEvery)) {
+	if !r.set.Probes || r.set.Reports == ReportNone || len(r.ready) == 0 ||
+		r.rng.Float64() > min(1, r.rate*seconds(tickEvery)) {
 		return
 	}
 	var oldest *engine
--- a/state.go
+++ b/state.go
@@ -27,6 +27,7 @@
 	drag       mean    // log of told over predicted token gap
 	sour       float64 // share of errors and turn-downs among its latest answers
 	trialAt    int64
+	due        bool    // put back by hand and not in use since
 	coldTokens float64 // requests the cold budget allows now
 	coldAt     int64
 	probing    bool
@@ -87,6 +88,7 @@
 	retries    float64
 	rate       float64 // own requests taken on, each second
 	rateAt     int64
+	firstAt    int64  // when the first request came
 	fleet      Report // mean of the reports heard
 	table      [2]map[uint64]kept
 	flushAt    int64
@@ -378,13 +380,20 @@
 
 const ringSalt = 0x165667b19e3779f9
 
-// count follows the rate of own requests taken on.
+// count follows the rate of own requests taken on, over the latest rateSpan seconds; over what there was of them where
+// the router is younger, or it would take itself for one that has little to do, and cold engines for weaker than they are.
 func (r *Router) count() {
-	r.rate *= math.Exp(-float64(r.now-r.rateAt) / 5e9)
-	r.rate += 1.0 / 5
+	if r.rateAt == 0 {
+		r.firstAt = r.now
+	}
+	span := min(rateSpan, max(rateLeast, seconds(r.now-r.firstAt)))
+	r.rate *= math.Exp(-seconds(r.now-r.rateAt) / span)
+	r.rate += 1 / span
 	r.rateAt = r.now
 }
 
+const rateSpan, rateLeast = 5.0, 2.0
+
 func (r *Router) sentUnread(e *engine) float64 {
 	return e.sentTokens * math.Exp2(-seconds(r.now-e.sentAt)/unreadHalf)
 }
--- a/tenants_test.go
+++ b/tenants_test.go
@@ -195,3 +195,58 @@
 		}
 	}
 }
+
+// An engine that staff put back is the next one used, within its cold budget, and that once: then it is one among others.
+func TestPutBackIsUsedSoon(t *testing.T) {
+	s := base()
+	s.WarmUp, s.ColdShare, s.FallFactor = 24*second, 0.13, 4
+	r := New(s, 1)
+	now := int64(1000) * second
+	feed(r, now, ready("a", "b", "c", "d"))
+	id, first := int64(0), map[string]int64{}
+	run := func(until int64) {
+		for ; now < until; now += 100 * ms {
+			id++
+			q := ask(id, now+4*second)
+			q.Session, q.PromptTokens = 7, 1000 // a conversation that has its engine
+			for _, a := range feed(r, now, q) {
+				if a.Kind != Send {
+					continue
+				}
+				if first[a.Engine] == 0 {
+					first[a.Engine] = now
+				}
+				feed(r, now+50*ms, &FirstToken{Request: id, Elapsed: 50 * ms},
+					&Outcome{Request: id, Last: true, Code: Served, Engine: a.Engine, Elapsed: 60 * ms})
+			}
+		}
+	}
+	run(now + 10*second)
+	back := Engine{Name: "d", Size: 1, ReadyAt: now, Back: true}
+	feed(r, now, &EngineList{Kind: ListDelta, Engines: []Engine{{Name: "d", Size: 1, State: Draining}}},
+		&EngineList{Kind: ListDelta, Engines: []Engine{back}})
+	clear(first)
+	from, e := now, r.engines["d"]
+	run(now + 5*second)
+	if first["d"] == 0 || first["d"]-from > 5*second {
+		t.Fatalf("not in use again: %v", first)
+	}
+	if e.due {
+		t.Fatal("still preferred")
+	}
+}
+
+// A router that takes over in the middle of the traffic knows its rate within seconds: it would else allow cold engines
+// next to nothing while the warm ones drown.
+func TestRateOfAYoungRouter(t *testing.T) {
+	r := New(base(), 1)
+	now := int64(1000) * second
+	feed(r, now, ready("a"))
+	for id := int64(1); id <= 36; id++ { // 12 a second for 3 s
+		now += second / 12
+		feed(r, now, ask(id, now+4*second))
+	}
+	if r.rate < 9 || r.rate > 13 {
+		t.Fatalf("rate of 12 a second is taken to be %.1f", r.rate)
+	}
+}
