Upgrade: what the module has learned goes over to the process that takes over

Change: Router.Learned and Recall (memory.go), checked whole before anything of it is taken; the process that serves writes it when it sees another, the new one waits 0.5 s for it at the most. Its own streams are not carried over: they are not the new one's.

--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -31,11 +31,29 @@
 	discovery string
 }
 
+// log is what a process says, read while it goes on.
+type log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // process is one process of the node.
 type process struct {
 	*exec.Cmd
 	console string
-	said    *bytes.Buffer
+	said    *log
 }
 
 func newPlatform(t *testing.T, boxes map[string]string) *platform {
@@ -60,7 +78,7 @@
 
 // start starts a process of the node; more are further variables.
 func (p *platform) start(more ...string) *process {
-	q := &process{console: testpeer.FreeAddress(p.t), said: &bytes.Buffer{}}
+	q := &process{console: testpeer.FreeAddress(p.t), said: &log{}}
 	settings := map[string]any{"balancers": 1, "discovery": "on_request", "period": 2000000, "zones": []string{"a"}, "shapes": []string{"m"},
 		"classes": []any{map[string]any{"name": "chat", "onTime": 1e9, "hardLimit": 3e9, "worth": 1, "semantics": "safe", "streamed": true}},
 		"limits":  map[string]any{"cancel": true, "retryAfter": true, "maxRetryAfter": 2e9, "sendCap": 3},
@@ -109,6 +127,16 @@
 	}
 }
 
+// logged is the first line of its log with some text. The process has written it by then.
+func (q *process) logged(text string) string {
+	for _, line := range strings.Split(q.said.String(), "\n") {
+		if strings.Contains(line, text) {
+			return line
+		}
+	}
+	return ""
+}
+
 // A second process takes over beside the first, twice, under clients who never stop: each request has its one whole
 // answer and went out once; who is out by hand stays out, whichever process was told; one that cannot come up, for its
 // descriptor is none, says so and leaves the others serving.
@@ -171,6 +199,9 @@
 	second := p.start()
 	require.Eventually(t, second.ready, 6*time.Second, 5*time.Millisecond)
 	require.Eventually(t, second.shows("app.hosts_down=1"), 2*time.Second, 5*time.Millisecond)
+	learned := second.logged("what the process before has learned")
+	require.Contains(t, learned, `"servers":3`)
+	require.NotContains(t, learned, `"error"`)
 	status, _ = first.says("POST", "/ops/engines/down?id=box-3")
 	require.Equal(t, http.StatusOK, status)
 	require.Eventually(t, second.shows("app.hosts_down=2"), time.Second, 5*time.Millisecond)
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"standpoint"
 	"standpoint/internal/edge"
 	"standpoint/internal/handover"
 	"standpoint/internal/node"
@@ -19,8 +21,10 @@
 const (
 	companyLook = 100 * time.Millisecond  // between two looks for another process of this node, and for what it was told
 	awaitList   = 1500 * time.Millisecond // for the first list
-	partTime    = 600 * time.Millisecond  // after which only those connections are open that have an answer under way, or rest
-	leaveMargin = 100 * time.Millisecond  // before the kill, when this process is gone whatever hangs
+	recallTime  = 500 * time.Millisecond  // for what the other has learned
+	recallLook  = 10 * time.Millisecond
+	partTime    = 600 * time.Millisecond // after which only those connections are open that have an answer under way, or rest
+	leaveMargin = 100 * time.Millisecond // before the kill, when this process is gone whatever hangs
 )
 
 // meet looks for other processes of this node, where staff may start a second one beside the first: both find each other
@@ -65,6 +69,7 @@
 			}
 			if n > known {
 				a.byHand.Keep()
+				a.tell(ctx)
 			}
 			known = n
 			select {
@@ -76,6 +81,51 @@
 	}, stop: a.share.Close}, nil
 }
 
+// tell leaves what the module has learned to a process that takes over.
+func (a *assembly) tell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recallTime)
+	defer cancel()
+	l := a.core.Learned(ctx)
+	if l == nil {
+		return
+	}
+	raw, err := json.Marshal(l)
+	if err == nil {
+		err = a.share.Tell(raw)
+	}
+	if err != nil {
+		a.log.Warn("what was learned does not go over", zap.Error(err))
+	}
+}
+
+// recall takes what the process that serves has learned, once that has seen this one.
+func (a *assembly) recall(stop context.Context, began time.Time) {
+	if a.share == nil || a.others == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(stop, recallTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		raw, ok := a.share.Told(began)
+		if !ok {
+			select {
+			case <-time.After(recallLook):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		var l standpoint.Learned
+		err := json.Unmarshal(raw, &l)
+		if err == nil {
+			err = a.core.Recall(ctx, &l)
+		}
+		a.log.Info("what the process before has learned", zap.Int("prompts", len(l.Prompts)),
+			zap.Int("servers", len(l.Engines)), zap.Error(err))
+		return
+	}
+	a.log.Info("the process before has left nothing that it learned")
+}
+
 // among divides the node's limits among its processes.
 func (a *assembly) among(others int, room *edge.Room, log *zap.Logger) {
 	a.others = others
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 // Run serves until SIGTERM or SIGINT, and returns when all that was taken is answered. SIGHUP has it read its
 // configuration again.
 func Run(o Options) error {
+	began := time.Now()
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	hangup := make(chan os.Signal, 1) // holds one wish to read the configuration again
@@ -95,6 +96,7 @@
 		}
 	}
 	a.await(stop)
+	a.recall(stop, began)
 	room := edge.NewRoom(listener, a.now.limits.EdgeConnections(), log)
 	server := edge.NewServer(a.handler(), room, log)
 	failed := make(chan error, 1)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -168,11 +169,34 @@
 	if err != nil {
 		return Record{}, err
 	}
+	return r, s.write(s.path(), raw)
+}
+
+// write has a file there whole, or as it was.
+func (s *Share) write(path string, raw []byte) error {
 	next := s.own.Name() + ".next"
 	if err := os.WriteFile(next, raw, 0o600); err != nil {
-		return Record{}, errors.Join(err, os.Remove(next))
+		return errors.Join(err, os.Remove(next))
+	}
+	return os.Rename(next, path)
+}
+
+// Tell leaves what this process has learned to the one that takes over.
+func (s *Share) Tell(raw []byte) error {
+	if len(raw) > bytesMost {
+		return fmt.Errorf("what was learned has %d bytes, %d at most", len(raw), bytesMost)
+	}
+	return s.write(s.stem+".learned.json", raw)
+}
+
+// Told is what another process has left, if that was after a moment.
+func (s *Share) Told(after time.Time) ([]byte, bool) {
+	path := s.stem + ".learned.json"
+	if info, err := os.Stat(path); err != nil || info.ModTime().Before(after) || info.Size() > bytesMost {
+		return nil, false
 	}
-	return r, os.Rename(next, s.path()) // from here on it is there, whole
+	raw, err := os.ReadFile(path)
+	return raw, err == nil
 }
 
 func (s *Share) path() string { return s.stem + ".by-hand.json" }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -116,7 +116,12 @@
 
 // Messages of the mailbox.
 type (
-	adjusted   struct{ settings standpoint.Settings }
+	adjusted struct{ settings standpoint.Settings }
+	learned  struct{ to chan<- *standpoint.Learned }
+	recalled struct {
+		l    *standpoint.Learned
+		done chan<- error
+	}
 	handBack   struct{ all bool }
 	taken      struct{ f *Flow }
 	left       struct{ f *Flow }
@@ -175,6 +180,30 @@
 	c.post(adjusted{settings})
 }
 
+// Learned is a copy of what the module has learned; nil if it is not to be had before ctx ends.
+func (c *Core) Learned(ctx context.Context) *standpoint.Learned {
+	to := make(chan *standpoint.Learned, 1)
+	c.post(learned{to})
+	select {
+	case l := <-to:
+		return l
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// Recall has the module take what another process of this node learned.
+func (c *Core) Recall(ctx context.Context, l *standpoint.Learned) error {
+	done := make(chan error, 1)
+	c.post(recalled{l, done})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // HandBack gives up what this node cannot bring to an end: begun streams, whose clients ask another node for the
 // rest, and, with all, flows that still wait, which are turned down. Where clients do not ask for the rest, streams
 // run on.
@@ -265,6 +294,10 @@
 	case adjusted:
 		c.Settings = m.settings
 		c.router.Adjust(m.settings)
+	case learned:
+		m.to <- c.router.Learned()
+	case recalled:
+		m.done <- c.router.Recall(m.l, c.clock())
 	case handBack:
 		for _, f := range c.flows {
 			if c.Settings.Resume {
--- /dev/null
+++ b/memory.go
@@ -0,0 +1,217 @@
+package standpoint
+
+// What a router hands to another that takes its place on the same machine. Nothing in this file decides.
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	learnedVersion = 1
+	learnedPrompts = 8192        // kept prompts that go over, the newest
+	learnedEngines = 4096        // engines that may
+	learnedAge     = 60 * second // beyond which nothing of it is taken
+)
+
+// Learned is what a router has learned. It holds for the settings that it was learned under.
+type Learned struct {
+	Version int   `json:"version"`
+	At      int64 `json:"at"`
+	Classes int   `json:"classes"`
+	Kinds   int   `json:"kinds"`
+
+	TTFT     []LearnedModel  `json:"ttft"`
+	Pace     []LearnedModel  `json:"pace"`
+	Gap      float64         `json:"gap"`
+	Told     bool            `json:"told"`
+	Gaps     []LearnedMean   `json:"gaps"`
+	GapUsual LearnedMean     `json:"gap_usual"`
+	GapNow   LearnedMean     `json:"gap_now"`
+	Decode   LearnedMean     `json:"decode"`
+	Gain     []float64       `json:"gain"`
+	Fleet    Report          `json:"fleet"`
+	Trust    float64         `json:"trust"`
+	FlushAt  int64           `json:"flush_at"`
+	Usual    float64         `json:"usual"`
+	Rate     float64         `json:"rate"`
+	Cut      float64         `json:"cut"`
+	Lately   []float64       `json:"lately"`
+	Engines  []LearnedEngine `json:"engines"`
+	Prompts  []LearnedPrompt `json:"prompts"`
+}
+
+// LearnedMean is a running mean.
+type LearnedMean struct {
+	Mean float64 `json:"mean"`
+	N    float64 `json:"n"`
+}
+
+// LearnedModel is a model's fit and its samples: each is what it was predicted from, and at its end what came.
+type LearnedModel struct {
+	Base    vec         `json:"base"`
+	Coef    vec         `json:"coef"`
+	Err     float64     `json:"err"`
+	Samples [][]float32 `json:"samples"`
+}
+
+// LearnedEngine is what is believed of an engine's process.
+type LearnedEngine struct {
+	Name       string      `json:"name"`
+	ReadyAt    int64       `json:"ready_at"`
+	Since      int64       `json:"since"`
+	Speed      float64     `json:"speed"`
+	Drag       LearnedMean `json:"drag"`
+	Sour       float64     `json:"sour"`
+	Suspect    bool        `json:"suspect"`
+	Down       bool        `json:"down"`
+	TrialAt    int64       `json:"trial_at"`
+	Report     Report      `json:"report"`
+	ReportAt   int64       `json:"report_at"`
+	ColdTokens float64     `json:"cold_tokens"`
+	ColdAt     int64       `json:"cold_at"`
+	Due        bool        `json:"due"`
+}
+
+// LearnedPrompt is an entry of the match table.
+type LearnedPrompt struct {
+	Key    uint64  `json:"key"`
+	Tokens float32 `json:"tokens"`
+	At     int64   `json:"at"`
+}
+
+// Learned copies what the router has learned.
+func (r *Router) Learned() *Learned {
+	l := &Learned{Version: learnedVersion, At: r.now, Classes: len(r.set.Classes), Kinds: r.set.Kinds, Gap: r.gap, Told: r.told,
+		GapUsual: learnedMean(r.gapUsual), GapNow: learnedMean(r.gapNow),
+		Decode: learnedMean(r.decode), Gain: slices.Clone(r.gain), Fleet: r.fleet, Trust: r.trust, FlushAt: r.flushAt,
+		Usual: r.usual, Rate: r.rate, Cut: r.cut, Lately: slices.Clone(r.lately)}
+	for i := range r.ttft {
+		l.TTFT, l.Pace = append(l.TTFT, r.ttft[i].learned()), append(l.Pace, r.pace[i].learned())
+	}
+	for _, m := range r.gaps {
+		l.Gaps = append(l.Gaps, learnedMean(m))
+	}
+	for _, e := range r.engines {
+		if len(l.Engines) < learnedEngines && e.State != Gone {
+			l.Engines = append(l.Engines, LearnedEngine{Name: e.Name, ReadyAt: e.ReadyAt, Since: e.since, Speed: e.speed,
+				Drag: learnedMean(e.drag), Sour: e.sour, Suspect: e.suspect, Down: e.down, TrialAt: e.trialAt, Report: e.report,
+				ReportAt: e.reportAt, ColdTokens: e.coldTokens, ColdAt: e.coldAt, Due: e.due})
+		}
+	}
+	for _, table := range r.table {
+		for key, k := range table {
+			l.Prompts = append(l.Prompts, LearnedPrompt{key, float32(k.tokens), k.at})
+		}
+	}
+	slices.SortFunc(l.Prompts, func(a, b LearnedPrompt) int { return int(min(1, max(-1, b.At-a.At))) })
+	l.Prompts = l.Prompts[:min(len(l.Prompts), learnedPrompts)]
+	return l
+}
+
+func learnedMean(m mean) LearnedMean { return LearnedMean{m.mean, m.n} }
+
+func (m *model) learned() LearnedModel {
+	l := LearnedModel{Base: m.base, Coef: m.coef, Err: m.err}
+	for i := range m.buckets {
+		for _, s := range m.buckets[i].ring {
+			row := make([]float32, 0, ttftFeatures+1)
+			for _, x := range s.x {
+				row = append(row, float32(x))
+			}
+			l.Samples = append(l.Samples, append(row, float32(s.y)))
+		}
+	}
+	return l
+}
+
+// Check tells whether what was learned can be taken by a router with these settings, at this time.
+func (l *Learned) Check(s *Settings, now int64) error {
+	models := s.Kinds + 1
+	switch {
+	case l.Version != learnedVersion:
+		return fmt.Errorf("it is of version %d, this program knows %d", l.Version, learnedVersion)
+	case l.At > now+second || now-l.At > learnedAge:
+		return errors.New("it is too old")
+	case l.Classes != len(s.Classes) || l.Kinds != s.Kinds:
+		return errors.New("it was learned under other settings")
+	case len(l.TTFT) != models || len(l.Pace) != models || len(l.Gaps) != len(s.Classes)+1 || len(l.Gain) != len(s.Classes)+1,
+		len(l.Lately) > densities, len(l.Engines) > learnedEngines, len(l.Prompts) > learnedPrompts:
+		return errors.New("parts of it are missing, or too many")
+	}
+	numbers := append(slices.Clone(l.Gain), l.Gap, l.Trust, l.Usual, l.Rate, l.Cut, l.Fleet.Memory, l.Fleet.Unread, l.Fleet.Slots)
+	numbers = append(numbers, l.Lately...)
+	for _, m := range append(slices.Clone(l.Gaps), l.GapUsual, l.GapNow, l.Decode) {
+		numbers = append(numbers, m.Mean, m.N)
+	}
+	for _, m := range append(slices.Clone(l.TTFT), l.Pace...) {
+		numbers = append(append(append(numbers, m.Base[:]...), m.Coef[:]...), m.Err)
+		for _, row := range m.Samples {
+			if len(row) != ttftFeatures+1 {
+				return errors.New("a sample of it has another length")
+			}
+			for _, v := range row {
+				numbers = append(numbers, float64(v))
+			}
+		}
+	}
+	for _, e := range l.Engines {
+		numbers = append(numbers, e.Speed, e.Drag.Mean, e.Drag.N, e.Sour, e.Report.Memory, e.Report.Unread, e.Report.Slots, e.ColdTokens)
+	}
+	if slices.ContainsFunc(numbers, func(v float64) bool { return math.IsNaN(v) || math.Abs(v) > 1e9 }) || l.Gap <= 0 {
+		return errors.New("a number of it cannot be")
+	}
+	return nil
+}
+
+// Recall takes what another router has learned, in place of what this one has. What is believed of an engine is taken where
+// this router lists the same process.
+func (r *Router) Recall(l *Learned, now int64) error {
+	if err := l.Check(&r.set, now); err != nil {
+		return err
+	}
+	r.now = now
+	for i := range r.ttft {
+		r.ttft[i].recall(&l.TTFT[i])
+		r.pace[i].recall(&l.Pace[i])
+	}
+	for i, m := range l.Gaps {
+		r.gaps[i] = mean{m.Mean, m.N}
+	}
+	r.gap, r.told, r.gain = l.Gap, l.Told, slices.Clone(l.Gain)
+	r.gapUsual, r.gapNow = mean{l.GapUsual.Mean, l.GapUsual.N}, mean{l.GapNow.Mean, l.GapNow.N}
+	r.decode = mean{l.Decode.Mean, l.Decode.N} // how many streams are usual it learns anew: those that run are not its own
+	r.fleet, r.trust, r.flushAt = l.Fleet, l.Trust, l.FlushAt
+	r.usual, r.usualAt = max(r.usual, l.Usual), now
+	r.rate, r.rateAt, r.firstAt = l.Rate, now, now-int64(rateSpan*1e9)
+	r.cut, r.cutAt, r.lately, r.latelyAt = l.Cut, now, slices.Clone(l.Lately), 0
+	for _, p := range l.Engines {
+		e := r.engines[p.Name]
+		if e == nil || e.ReadyAt != p.ReadyAt {
+			continue
+		}
+		e.since, e.speed, e.drag, e.sour = p.Since, p.Speed, mean{p.Drag.Mean, p.Drag.N}, p.Sour
+		e.suspect, e.down, e.trialAt, e.due = p.Suspect, p.Down, p.TrialAt, p.Due
+		e.report, e.reportAt, e.coldTokens, e.coldAt = p.Report, p.ReportAt, p.ColdTokens, p.ColdAt
+	}
+	for _, p := range l.Prompts {
+		r.table[0][p.Key] = kept{float64(p.Tokens), p.At}
+	}
+	return nil
+}
+
+func (m *model) recall(l *LearnedModel) {
+	*m = model{base: l.Base, coef: l.Coef, err: l.Err}
+	for _, row := range l.Samples {
+		var s sample
+		for i := range s.x {
+			s.x[i] = float64(row[i])
+		}
+		s.y = float64(row[ttftFeatures])
+		if b := &m.buckets[bucketOf(&s.x)]; len(b.ring) < bucketDepth {
+			b.ring = append(b.ring, s)
+		}
+	}
+}
--- /dev/null
+++ b/memory_test.go
@@ -0,0 +1,142 @@
+package standpoint
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+)
+
+// taught is a router that has served for a while: "a" is quick, "b" slow, and a conversation is kept at one of them.
+func taught(s Settings) (*Router, int64) {
+	r := New(s, 1)
+	now := int64(1000) * second
+	feed(r, now, ready("a", "b"))
+	for id := int64(1); id <= 400; id++ {
+		now += 50 * ms
+		for _, a := range feed(r, now, ask(id, now+4*second)) {
+			if a.Kind != Send {
+				continue
+			}
+			took := 50 * ms
+			if a.Engine == "b" {
+				took = 700 * ms
+			}
+			feed(r, now+took, &FirstToken{Request: id, Elapsed: took}, &Outcome{Request: id, Last: true, Code: Served, Engine: a.Engine,
+				Elapsed: took + 100*ms, Tokens: 20, Report: &Report{Memory: 0.3, Unread: 1, Slots: 0.4}})
+		}
+	}
+	return r, now
+}
+
+// What one router learned, another goes on by: predictions, paces, what is believed of engines, and what they keep.
+func TestRecall(t *testing.T) {
+	s := base()
+	r, now := taught(s)
+	raw, err := json.Marshal(r.Learned())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(raw) > 1<<20 {
+		t.Fatalf("%d bytes", len(raw))
+	}
+	var l Learned
+	if err := json.Unmarshal(raw, &l); err != nil {
+		t.Fatal(err)
+	}
+	next := New(s, 2)
+	feed(next, now, ready("a", "b", "c"))
+	if err := next.Recall(&l, now); err != nil {
+		t.Fatal(err)
+	}
+	near := func(what string, a, b, most float64) {
+		if math.Abs(a-b) > most*math.Abs(a) {
+			t.Errorf("%s: %g, and %g after", what, a, b)
+		}
+	}
+	for i := int64(1); i <= 20; i++ { // the same question to both
+		q := &request{Request: *ask(i*20, now+4*second), at: now}
+		for _, name := range []string{"a", "b"} {
+			was, is := option{e: r.engines[name]}, option{e: next.engines[name]}
+			was.match, is.match = r.match(q, was.e), next.match(q, is.e)
+			near("match", was.match, is.match, 1e-3)
+			r.predict(q, &was)
+			next.predict(q, &is)
+			near("first token at "+name, was.wide, is.wide, 1e-3)
+			near("pace at "+name, was.slow, is.slow, 0.15)
+		}
+	}
+	near("rate", r.rate, next.rate, 1e-3)
+	if next.engines["b"].speed <= next.engines["a"].speed {
+		t.Error("the slow one is not known")
+	}
+	if c := next.engines["c"]; c.speed != 0 || c.reportAt != 0 {
+		t.Error("something is believed of one that nobody knew")
+	}
+	restarted := New(s, 3)
+	feed(restarted, now, &EngineList{Kind: ListFull, Engines: []Engine{{Name: "b", Size: 1, ReadyAt: now - second}}})
+	if err := restarted.Recall(&l, now); err != nil || restarted.engines["b"].speed != 0 {
+		t.Errorf("%v: believed of another process", err)
+	}
+}
+
+// What does not hold is not taken, in no part of it.
+func TestRecallOfWhatDoesNotHold(t *testing.T) {
+	s := base()
+	r, now := taught(s)
+	for name, spoil := range map[string]func(*Learned){
+		"version":  func(l *Learned) { l.Version++ },
+		"age":      func(l *Learned) { l.At -= 2 * learnedAge },
+		"future":   func(l *Learned) { l.At += 2 * second },
+		"kinds":    func(l *Learned) { l.Kinds++ },
+		"models":   func(l *Learned) { l.TTFT = l.TTFT[1:] },
+		"sample":   func(l *Learned) { l.Pace[0].Samples[0] = nil },
+		"number":   func(l *Learned) { l.TTFT[0].Coef[2] = math.NaN() },
+		"gap":      func(l *Learned) { l.Gap = 0 },
+		"endless":  func(l *Learned) { l.Engines[0].Speed = math.Inf(1) },
+		"too many": func(l *Learned) { l.Lately = make([]float64, densities+1) },
+	} {
+		l := r.Learned()
+		spoil(l)
+		next := New(s, 2)
+		feed(next, now, ready("a", "b"))
+		if err := next.Recall(l, now); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if next.gap != New(s, 2).gap || next.engines["b"].speed != 0 {
+			t.Errorf("%s: taken in part", name)
+		}
+	}
+}
+
+func FuzzRecall(f *testing.F) {
+	s := base()
+	r, now := taught(s)
+	raw, err := json.Marshal(r.Learned())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte(`{"version":1}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var l Learned
+		if json.Unmarshal(raw, &l) != nil {
+			return
+		}
+		next := New(s, 2)
+		feed(next, now, ready("a", "b"))
+		if next.Recall(&l, now) != nil {
+			return
+		}
+		for id := int64(1); id < 20; id++ {
+			sent := 0
+			for _, a := range feed(next, now+id*10*ms, ask(id, now+4*second)) {
+				if a.Kind == Send || a.Kind == Shed {
+					sent++
+				}
+			}
+			if sent > 1 {
+				t.Fatal("more than one answer to a request")
+			}
+		}
+	})
+}
