--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -198,7 +198,7 @@
 	if err := room.Close(); err != nil {
 		log.Warn("the listening socket", zap.Error(err))
 	}
-	room.SendAway(true)
+	room.SendAway(true, server)
 	most := shutdownTime
 	if killed > 0 {
 		most = killed
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,7 +131,7 @@
 		case <-hangup:
 			_ = a.takeOn(o.File, room, log) // logged, and nothing has changed
 		case o := <-a.orders:
-			o.done <- a.sendAway(o.away, room, log)
+			o.done <- a.sendAway(o.away, room, server, log)
 		case w := <-a.wishes:
 			w.done <- a.carryOut(w, o.File, room, log)
 		}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -76,21 +76,25 @@
 		freed: make(chan struct{}, 1), places: map[*place]bool{}}
 }
 
-// SendAway has connections that rest end, until it is told that clients may stay, or the last one of a closed room went.
-func (r *Room) SendAway(on bool) {
+// SendAway has the server's connections that rest end, until it is told that clients may stay, or the last one of a closed
+// room went.
+func (r *Room) SendAway(on bool, server *http.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case on && r.away == nil:
 		r.away = make(chan struct{})
-		go r.sweep(time.Now(), r.away)
+		go r.sweep(time.Now(), r.away, server)
 	case !on && r.away != nil:
 		close(r.away)
 		r.away = nil
+		server.SetKeepAlivesEnabled(true)
 	}
 }
 
-func (r *Room) sweep(from time.Time, end <-chan struct{}) {
+// sweep closes what rests once the time for it has come. An answer that began before the word could not say that its
+// connection ends: without keep-alive that ends with the answer, and does not come to rest at all.
+func (r *Room) sweep(from time.Time, end <-chan struct{}, server *http.Server) {
 	tick := time.NewTicker(awayLook)
 	defer tick.Stop()
 	for {
@@ -102,6 +106,13 @@
 				continue
 			}
 			r.mu.Lock()
+			select {
+			case <-end:
+				r.mu.Unlock()
+				return
+			default:
+			}
+			server.SetKeepAlivesEnabled(false)
 			for p := range r.places {
 				if !p.busy && !p.leaving && now.Sub(p.since) >= awayRest {
 					r.ask(p, now)
