--- a/internal/cli/discovery_test.go
+++ b/internal/cli/discovery_test.go
@@ -226,6 +226,7 @@
 	require.NoError(t, err)
 	require.Contains(t, string(text), `standpoint_discovery_lookups_total{domain="hall-b.test.",service="_engine._tcp"}`)
 	require.Contains(t, string(text), "standpoint_nodes 1")
+	require.Regexp(t, `standpoint_requests_total\{class="chat",end="success"\} [1-9]`, string(text))
 	cancel()
 	clients.Wait()
 	require.Equal(t, asked.Load(), served.Load())
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -27,6 +27,7 @@
 	for fault, key := range map[string]string{
 		strings.Replace(platform, "8c1f30d27a5be964", "xyz", 1):                     "seed:",
 		strings.Replace(platform, "127.2.0.1:8500", "nowhere", 1):                   "discovery:",
+		strings.Replace(platform, `"name":"n3"`, `"name":"n3","console":"x"`, 1):    "console:",
 		strings.Replace(platform, `"memory_mb":192`, `"memory_mb":-1`, 1):           "limits.memory_mb:",
 		strings.Replace(platform, `"sockets":1024`, `"sockets":3`, 1):               "limits.sockets:",
 		strings.Replace(platform, `{"name":"chat","semantics":"safe"}`, ``, 1):      "settings.classes:",
@@ -60,6 +61,7 @@
 	for fault, key := range map[string]string{
 		strings.Replace(platform, "127.0.0.4:8443", "127.0.0.5:8443", 1): "listen:",
 		strings.Replace(platform, `"n3"`, `"n4"`, 1):                     "name:",
+		strings.Replace(platform, `"n3"`, `"n3","console":"a:1"`, 1):     "console:",
 		strings.Replace(platform, "127.2.0.1:8500", "nowhere", 1):        "discovery:",
 		"{": "configuration file:",
 	} {
@@ -163,6 +165,7 @@
 		{alone + "[nodes]\npublish = true\n", "nodes.server:"},
 		{alone + "[nodes]\nserver = \"127.0.0.1:53\"\n", "nodes.domain:"},
 		{alone + "[nodes]\nserver = \"127.0.0.1:53\"\ndomain = \"a.test\"\nlease = \"1s\"\n", "nodes.lease:"},
+		{"console = \"0.0.0.0:9\"\n" + alone, "console:"},
 		{alone + "[metrics]\nlisten = \"0.0.0.0:9\"\n", "metrics.listen:"},
 		{dnssd, "entries.server:"},
 		{together + pools, "control.listen:"},
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,8 +5,39 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"standpoint/internal/figures"
 )
 
+// counted shows the figures, read where the console reads them.
+type counted struct{ *figures.Figures }
+
+var (
+	requestsDesc = prometheus.NewDesc("standpoint_requests_total", "Requests that ended, by class and end.", []string{"class", "end"}, nil)
+	attemptsDesc = prometheus.NewDesc("standpoint_attempts_total", "Attempts written whole to real servers.", nil, nil)
+	listedDesc   = prometheus.NewDesc("standpoint_real_servers_listed", "Real servers in the list.", nil, nil)
+	avoidedDesc  = prometheus.NewDesc("standpoint_real_servers_avoided", "Listed real servers that the module avoids.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c counted) Describe(to chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, listedDesc, avoidedDesc} {
+		to <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c counted) Collect(to chan<- prometheus.Metric) {
+	for _, class := range c.Classes() {
+		for e, word := range figures.Words {
+			to <- prometheus.MustNewConstMetric(requestsDesc, prometheus.CounterValue, float64(class.Count(figures.End(e))), class.Name, word)
+		}
+	}
+	to <- prometheus.MustNewConstMetric(attemptsDesc, prometheus.CounterValue, float64(c.Attempts()))
+	to <- prometheus.MustNewConstMetric(listedDesc, prometheus.GaugeValue, float64(c.Listed()))
+	to <- prometheus.MustNewConstMetric(avoidedDesc, prometheus.GaugeValue, float64(c.Avoided()))
+}
+
 // registry has what the daemon says of itself.
 func registry(a *assembly) (*prometheus.Registry, error) {
 	r := prometheus.NewRegistry()
@@ -18,6 +49,7 @@
 		r.Register(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})),
 		r.Register(gauge("open_flows", "Flows that wait for their answer.", func() float64 { return float64(a.core.Open()) })),
 		r.Register(gauge("service_entries", "Service entries in use.", func() float64 { return float64(len(a.keeper.Current())) })),
+		r.Register(counted{a.figures}),
 		r.Register(gauge("nodes", "Nodes by which the module divides.", func() float64 { return float64(max(1, a.nodes.Load())) })),
 	)
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -19,6 +19,9 @@
 	ends
 )
 
+// Words are the names of the ends.
+var Words = [ends]string{"success", "busy", "failure"}
+
 // classesMost bounds the classes that are counted: configurations that are read again may bring new ones for ever.
 const classesMost = 256
 
@@ -111,7 +114,7 @@
 func (f *Figures) Text() []byte {
 	var b bytes.Buffer
 	for _, c := range f.Classes() {
-		for e, word := range [ends]string{"success", "busy", "failure"} {
+		for e, word := range Words {
 			fmt.Fprintf(&b, "app.calls.%s.%s=%d\n", c.Name, word, c.Count(End(e)))
 		}
 	}
