Upgrade: begun streams move to the new process with both their connections

Change: the link follows the answer's chunks, and freezes at any byte; realserver.Stream with the two descriptors passes over a Unix socket in TMPDIR (handover.Share.Pass and Take); the new process adopts the flow, already claimed by its one attempt, and goes on; what does not move is handed back as before. Figures count such a request where it ends. Tests: an answer left at any byte, broken off at any byte, on the whole program in the middle of an event (fails without the move).

--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -142,7 +142,7 @@
 // descriptor is none, says so and leaves the others serving.
 func TestUpgradeUnderClients(t *testing.T) {
 	ledger := testpeer.NewLedger()
-	boxes := map[string]string{}
+	boxes, release := map[string]string{}, make(chan struct{})
 	var mu sync.Mutex
 	used := map[string]time.Time{}
 	for _, name := range []string{"box-1", "box-2", "box-3"} {
@@ -153,6 +153,12 @@
 			id := r.Header.Get("X-Trace-Id")
 			ledger.Begin(id)
 			testpeer.Event(w, id)
+			if id == "long" {
+				fmt.Fprint(w, `data: {"choices":[{"index":0,"de`)
+				w.(http.Flusher).Flush()
+				<-release
+				fmt.Fprint(w, `lta":{"content":"the rest"}}]}`+"\n\n")
+			}
 			time.Sleep(20 * time.Millisecond) // the pace of a server, so that streams are under way at any time
 			testpeer.Finish(w)
 			ledger.End(id, true)
@@ -168,6 +174,9 @@
 	first := p.start()
 	require.Eventually(t, first.ready, 10*time.Second, 5*time.Millisecond)
 
+	long, err := http.DefaultClient.Do(testpeer.Ask(t, address, "long", "3000m"))
+	require.NoError(t, err)
+	defer long.Body.Close()
 	asking, stop := context.WithCancel(t.Context())
 	var clients sync.WaitGroup
 	var asked, turnedBack sync.Map
@@ -208,6 +217,14 @@
 	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, first.Wait(), first.said)
 	require.True(t, quietSince("box-2", out))
+	// The long answer stood in the middle of an event; its process is gone, and it goes on.
+	close(release)
+	rest, err := io.ReadAll(long.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(rest), "long")
+	require.Contains(t, string(rest), `data: {"choices":[{"index":0,"delta":{"content":"the rest"}}]}`+"\n\n")
+	require.Contains(t, string(rest), "[DONE]")
+	require.Equal(t, 1, ledger.Sent["long"])
 
 	for _, bad := range []string{"77", "three", "1"} {
 		failing := p.start("PROXY_SOCKET_FD=" + bad)
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -16,6 +16,7 @@
 	"standpoint/internal/edge"
 	"standpoint/internal/handover"
 	"standpoint/internal/node"
+	"standpoint/internal/realserver"
 )
 
 const (
@@ -24,6 +25,7 @@
 	recallTime  = 500 * time.Millisecond  // for what the other has learned
 	recallLook  = 10 * time.Millisecond
 	partTime    = 600 * time.Millisecond // after which only those connections are open that have an answer under way, or rest
+	moveTime    = 2 * time.Second        // after which streams that are not over move
 	leaveMargin = 100 * time.Millisecond // before the kill, when this process is gone whatever hangs
 )
 
@@ -54,6 +56,11 @@
 	}
 	known := a.others
 	return part{name: "company", run: func(ctx context.Context) {
+		go func() {
+			if err := a.share.Take(ctx, a.takeOver(ctx)); err != nil {
+				a.log.Warn("streams cannot be taken over from another process", zap.Error(err))
+			}
+		}()
 		tick := time.NewTicker(companyLook)
 		defer tick.Stop()
 		for {
@@ -126,6 +133,51 @@
 	a.log.Info("the process before has left nothing that it learned")
 }
 
+// takeOver goes on with the streams that another process leaves.
+func (a *assembly) takeOver(ctx context.Context) handover.Taker {
+	return func(text []byte, client, server net.Conn) bool {
+		var m moving
+		err := json.Unmarshal(text, &m)
+		var s realserver.Stream
+		if err == nil {
+			s, err = realserver.DecodeStream(m.Stream)
+		}
+		if err != nil || a.life.Now() > node.DrainedByHand {
+			a.log.Warn("a stream is not taken over", zap.Stringer("phase", a.life.Now()), zap.Error(err))
+			return false
+		}
+		a.adopted.Go(func() {
+			a.front.Adopt(ctx, client, s.Trace, m.Class, func(attempt *node.Attempt) { a.fleet.Carry(s, server, attempt) })
+		})
+		return true
+	}
+}
+
+// moving is a stream on its way. Its class has a name: the other process's configuration may have others.
+type moving struct {
+	Class  string          `json:"class"`
+	Stream json.RawMessage `json:"stream"`
+}
+
+// moveAll has the streams that are under way go on in the process that serves.
+func (a *assembly) moveAll(log *zap.Logger) {
+	n := a.fleet.Move(func(s realserver.Stream, client, server int) error {
+		stream, err := json.Marshal(s)
+		var text []byte
+		if err == nil {
+			text, err = json.Marshal(moving{a.front.ClassName(s.Class), stream})
+		}
+		if err == nil {
+			err = a.share.Pass(text, client, server)
+		}
+		if err != nil {
+			log.Warn("a stream did not move", zap.String("trace", s.Trace), zap.Error(err))
+		}
+		return err
+	})
+	log.Info("streams move to the other process", zap.Int("streams", n))
+}
+
 // among divides the node's limits among its processes.
 func (a *assembly) among(others int, room *edge.Room, log *zap.Logger) {
 	a.others = others
@@ -204,6 +256,7 @@
 		most = killed
 	}
 	defer time.AfterFunc(most-killMargin, func() { a.core.HandBack(true) }).Stop()
+	defer time.AfterFunc(moveTime, func() { a.moveAll(log) }).Stop()
 	time.Sleep(partTime) // Shutdown ends at once what rests; a client that asks again and again leaves with its next answer
 	return a.shut(server, most-partTime-leaveMargin, log)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -243,6 +243,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	err := server.Shutdown(ctx)
+	over := make(chan struct{})
+	go func() {
+		a.adopted.Wait()
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-ctx.Done():
+		err = errors.Join(err, ctx.Err())
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = fmt.Errorf("draining: %d flows were left: %w", a.core.Open(), err)
 	}
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -72,6 +72,7 @@
 	news       func(node.List)
 	heard      chan struct{} // closed once the source has told something; nil: it has no source that may be waited for
 	first      sync.Once
+	adopted    sync.WaitGroup // streams of another process that are carried on
 	keeper     *entries.Keeper
 	front      *edge.Front
 	handlers   []prefixed // fronts besides the single requests'
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -204,14 +204,14 @@
 	request standpoint.Request, body []byte) {
 	work := node.Work{Method: r.Method, Target: r.URL.RequestURI(), TraceID: r.Header.Get("X-Trace-Id"),
 		ContentType: r.Header.Get("Content-Type"), Body: body}
-	answer, err := f.Core.Serve(r.Context(), node.NewFlow(request, work, &connection{w: w, control: control}))
+	answer, err := f.Core.Serve(r.Context(), node.NewFlow(request, work, &connection{w: w, control: control, chunked: r.ProtoAtLeast(1, 1)}))
 	if err != nil {
 		answer = node.Answer{Kind: node.TurnedDown, Wait: busyWait}
 	}
 	switch answer.Kind {
 	case node.Served:
 		_ = control.SetWriteDeadline(time.Now().Add(writeTime)) // the last chunk has its own time, whatever the events took
-	case node.ClientGone:
+	case node.ClientGone, node.Moved:
 	case node.Broken:
 		panic(http.ErrAbortHandler) // the connection ends without the last chunk
 	case node.TurnedDown:
@@ -429,6 +429,7 @@
 type connection struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	chunked bool          // the client takes chunks
 	held    time.Duration // for which the client has kept its answer waiting
 }
 
--- /dev/null
+++ b/internal/edge/moving.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"standpoint"
+	"standpoint/internal/node"
+	"standpoint/internal/realserver"
+)
+
+// Detach implements node.Detacher: between two events everything is written, and the next byte is another process's.
+func (c *connection) Detach() (int, error) {
+	if !c.chunked {
+		return 0, errors.New("a client that does not take chunks")
+	}
+	conn, buffered, err := c.control.Hijack()
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	p, ours := conn.(*place)
+	if !ours || buffered.Reader.Buffered() > 0 {
+		return 0, errors.New("a client that has said more already")
+	}
+	return realserver.Duplicate(p.Conn)
+}
+
+// ClassName is the name of a class by its index; "" for one that there is not.
+func (f *Front) ClassName(class int) string {
+	for name, i := range f.indexes.Load().classes {
+		if i == class {
+			return name
+		}
+	}
+	return ""
+}
+
+// Adopt goes on with a client whose answer another process of this node has begun, until the end. Its connection is closed
+// then: it is none of the server's, and its next request may open another.
+func (f *Front) Adopt(ctx context.Context, client net.Conn, trace, class string, carry func(*node.Attempt)) {
+	defer client.Close()
+	if f.ids.open(trace, time.Now()) {
+		defer f.ids.close(trace)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request := standpoint.Request{Class: -1, Tenant: -1}
+	if i, ok := f.indexes.Load().classes[class]; ok {
+		request.Class = i
+	}
+	go func() { // nothing is to come but the connection's end
+		_, _ = io.Copy(io.Discard, client)
+		cancel()
+	}()
+	c := &adopted{conn: client}
+	answer, err := f.Core.Adopt(ctx, node.NewFlow(request, node.Work{TraceID: trace}, c), carry)
+	if err != nil {
+		f.Log.Warn("a stream was not taken over", zap.String("trace", trace), zap.Error(err))
+		return
+	}
+	if answer.Kind == node.Served {
+		_ = client.SetWriteDeadline(time.Now().Add(writeTime))
+		_, _ = io.WriteString(client, "0\r\n\r\n")
+	}
+}
+
+// adopted is the edge connection of a flow whose answer another process has begun.
+type adopted struct {
+	conn net.Conn
+	held time.Duration
+}
+
+// Begin does nothing: the answer has begun.
+func (c *adopted) Begin() error { return nil }
+
+// Event writes a chunk, in one piece. A client may keep its answer waiting as elsewhere.
+func (c *adopted) Event(b []byte) error {
+	from := time.Now()
+	defer func() {
+		if wait := time.Since(from); wait > node.HeldLeast {
+			c.held += wait
+		}
+	}()
+	_ = c.conn.SetWriteDeadline(from.Add(writeTime - c.held))
+	_, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(b), b)
+	return err
+}
+
+// Detach implements node.Detacher.
+func (c *adopted) Detach() (int, error) { return realserver.Duplicate(c.conn) }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -110,6 +110,7 @@
 			continue
 		}
 		if unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == nil {
+			_ = os.Remove(name + ".take")
 			_ = os.Remove(name)
 		} else {
 			n++
@@ -203,6 +204,7 @@
 
 // Close shows that this process is over.
 func (s *Share) Close() error {
+	_ = os.Remove(s.own.Name() + ".take") // there may be none
 	err := os.Remove(s.own.Name())
 	if errors.Is(err, fs.ErrNotExist) {
 		err = nil // taken away by hand
--- /dev/null
+++ b/internal/handover/passing.go
@@ -0,0 +1,181 @@
+package handover
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	passTime  = 300 * time.Millisecond // in which the other must have taken what is passed
+	passMost  = 1 << 20                // bytes that go with it
+	passAtOne = 64                     // what is being taken at once
+	taken     = 'y'
+)
+
+// Taker takes what another process passes: a text, and two connections that are its own from then on. False: it does not.
+type Taker func(text []byte, first, second net.Conn) bool
+
+// Take has this process take what others pass, until ctx ends.
+func (s *Share) Take(ctx context.Context, take Taker) error {
+	l, err := s.listen()
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	places := make(chan struct{}, passAtOne)
+	for {
+		c, err := l.AcceptUnix()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		places <- struct{}{}
+		go func() {
+			defer func() { <-places }()
+			defer c.Close()
+			if err := receive(c, take); err == nil {
+				_, _ = c.Write([]byte{taken})
+			}
+		}()
+	}
+}
+
+// listen makes the socket. Its path may be too long for an address; through the folder's own descriptor it is not.
+func (s *Share) listen() (*net.UnixListener, error) {
+	path := s.own.Name() + ".take"
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	short, done, err := shorten(path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: short, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // the short path means nothing by then; Close of the share takes the file away
+	return l, nil
+}
+
+func shorten(path string) (short string, done func(), err error) {
+	folder, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", folder.Fd(), filepath.Base(path)), func() { folder.Close() }, nil
+}
+
+func receive(c *net.UnixConn, take Taker) error {
+	_ = c.SetDeadline(time.Now().Add(passTime))
+	var size [4]byte
+	rights := make([]byte, unix.CmsgSpace(8))
+	n, m, _, _, err := c.ReadMsgUnix(size[:], rights)
+	if err != nil {
+		return err
+	}
+	var fds []int
+	defer func() {
+		for _, fd := range fds {
+			unix.Close(fd)
+		}
+	}()
+	messages, err := unix.ParseSocketControlMessage(rights[:m])
+	for i := 0; i < len(messages) && err == nil; i++ {
+		var more []int
+		more, err = unix.ParseUnixRights(&messages[i])
+		fds = append(fds, more...)
+	}
+	for _, fd := range fds {
+		unix.CloseOnExec(fd)
+	}
+	length := binary.BigEndian.Uint32(size[:])
+	if err != nil || n != len(size) || len(fds) != 2 || length > passMost {
+		return errors.Join(errors.New("what was passed is not two connections and a text"), err)
+	}
+	text := make([]byte, length)
+	if _, err := io.ReadFull(c, text); err != nil {
+		return err
+	}
+	first, err := connection(fds[0])
+	if err != nil {
+		return err
+	}
+	second, err := connection(fds[1])
+	if err != nil {
+		return errors.Join(err, first.Close())
+	}
+	if !take(text, first, second) {
+		return errors.Join(errors.New("not taken"), first.Close(), second.Close())
+	}
+	return nil
+}
+
+// connection is one of its own to the same socket; fd stays.
+func connection(fd int) (net.Conn, error) {
+	own, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(own), "passed")
+	defer file.Close()
+	return net.FileConn(file)
+}
+
+// Pass passes a text and two connections to another process of this node. The descriptors stay the caller's.
+func (s *Share) Pass(text []byte, first, second int) error {
+	if len(text) > passMost {
+		return fmt.Errorf("%d bytes, %d at most", len(text), passMost)
+	}
+	sockets, err := filepath.Glob(s.stem + ".*.live.take")
+	if err != nil {
+		return err
+	}
+	err = errors.New("no other process takes anything")
+	for _, path := range sockets {
+		if path == s.own.Name()+".take" {
+			continue
+		}
+		if err = pass(path, text, first, second); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func pass(path string, text []byte, first, second int) error {
+	short, done, err := shorten(path)
+	if err != nil {
+		return err
+	}
+	defer done()
+	c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: short, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(passTime))
+	if _, _, err := c.WriteMsgUnix(binary.BigEndian.AppendUint32(nil, uint32(len(text))), unix.UnixRights(first, second), nil); err != nil {
+		return err
+	}
+	if _, err := c.Write(text); err != nil {
+		return err
+	}
+	var answer [1]byte
+	if _, err := io.ReadFull(c, answer[:]); err != nil {
+		return err
+	}
+	return nil
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -117,6 +117,7 @@
 // Messages of the mailbox.
 type (
 	adjusted struct{ settings standpoint.Settings }
+	adopted  struct{ f *Flow }
 	learned  struct{ to chan<- *standpoint.Learned }
 	recalled struct {
 		l    *standpoint.Learned
@@ -219,15 +220,42 @@
 // of every flow is counted.
 func (c *Core) Serve(ctx context.Context, f *Flow) (Answer, error) {
 	a, err := c.serve(ctx, f)
+	c.count(f, a, err)
+	return a, err
+}
+
+func (c *Core) count(f *Flow, a Answer, err error) {
 	switch {
 	case err != nil || a.Kind == TurnedDown:
 		c.Figures.Ended(f.Request.Class, figures.Busy)
 	case a.Kind == Served:
 		c.Figures.Ended(f.Request.Class, figures.Success)
-	case a.Kind != ClientGone:
+	case a.Kind != ClientGone && a.Kind != Moved: // one that moved ends, and is counted, elsewhere
 		c.Figures.Ended(f.Request.Class, figures.Failure)
 	}
-	return a, err
+}
+
+// Adopt takes on a flow whose answer another process of this node has begun, and returns its end. carry carries it, as the
+// one attempt that has claimed it; the module is not asked about it.
+func (c *Core) Adopt(ctx context.Context, f *Flow, carry func(*Attempt)) (Answer, error) {
+	if !c.places.Take(f.Request.Tenant, 1) {
+		return Answer{}, ErrBusy
+	}
+	defer c.places.Give(f.Request.Tenant, 1)
+	a := &Attempt{Flow: f, Sent: time.Now(), post: c.post, out: true, timer: time.NewTimer(0)}
+	a.ctx, a.stop = context.WithCancelCause(context.Background())
+	f.claimed, f.attempts = a, []*Attempt{a}
+	c.post(adopted{f})
+	go carry(a)
+	answer := Answer{}
+	select {
+	case answer = <-f.done:
+	case <-ctx.Done():
+		f.breakOff(ErrClientGone)
+		answer = <-f.done
+	}
+	c.count(f, answer, nil)
+	return answer, nil
 }
 
 func (c *Core) serve(ctx context.Context, f *Flow) (Answer, error) {
@@ -294,6 +322,11 @@
 	case adjusted:
 		c.Settings = m.settings
 		c.router.Adjust(m.settings)
+	case adopted:
+		c.nextID++
+		m.f.Request.ID = c.nextID
+		c.flows[c.nextID] = m.f
+		m.f.arrived = time.Now()
 	case learned:
 		m.to <- c.router.Learned()
 	case recalled:
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -31,6 +31,7 @@
 	TurnedDown                   // refused: trying again is harmless
 	Failed
 	ClientGone
+	Moved    // begun, and left with its connection to another process of this node
 	Rejected // by a real server, for what the request itself is: no other would take it
 )
 
@@ -144,6 +145,8 @@
 	// Rejected, if not 0, is the status by which the server found the request itself wrong. It speaks against the
 	// request alone, whatever the code, and is the flow's answer.
 	Rejected int
+	// Moved tells that another process goes on with the stream.
+	Moved bool
 }
 
 // Context ends when the attempt is given up; its cause is one of the reasons above.
@@ -182,6 +185,20 @@
 // Event passes whole events on to the client.
 func (a *Attempt) Event(b []byte) error { return a.Flow.edge.Event(b) }
 
+// Detacher is an edge connection that another process can go on with.
+type Detacher interface {
+	// Detach takes the client's connection out of this process's hands: the descriptor is the caller's from then on.
+	Detach() (int, error)
+}
+
+// Detach takes the client's connection out of this process's hands, where it can be.
+func (a *Attempt) Detach() (int, error) {
+	if d, ok := a.Flow.edge.(Detacher); ok {
+		return d.Detach()
+	}
+	return 0, errors.New("a client whose connection cannot move")
+}
+
 // End tells how the attempt ended. Where it had claimed the flow, that is the flow's final answer too.
 // It is called last, when nothing of the attempt is out on an open connection any more.
 func (a *Attempt) End(r Result) {
@@ -192,7 +209,10 @@
 	if f.claimed == a && !f.over {
 		f.over = true
 		kind := Broken
-		if r.Code == standpoint.Served {
+		switch {
+		case r.Moved:
+			kind = Moved
+		case r.Code == standpoint.Served:
 			kind = Served
 		}
 		f.done <- Answer{Kind: kind}
--- /dev/null
+++ b/internal/realserver/chunks.go
@@ -0,0 +1,128 @@
+package realserver
+
+import "errors"
+
+// chunks follows an answer in chunks, byte by byte, so that whoever goes on reading it knows where it stands.
+type chunks struct {
+	Phase   chunkPhase `json:"phase"`
+	Size    int64      `json:"size"`  // of the chunk: what was read of it in its line, or what is left of its data
+	Line    int        `json:"line"`  // bytes of the line that comes
+	Other   bool       `json:"other"` // the line has gone on to what is no size
+	Matched int        `json:"matched"`
+	Status  string     `json:"status"` // the head's first bytes
+}
+
+type chunkPhase int
+
+const (
+	inHead chunkPhase = iota
+	inSize
+	inData
+	afterData
+	inTrailer
+	isOver
+)
+
+const (
+	statusAt  = len("HTTP/1.1 ") // of a head, where its status begins
+	chunkLine = 256              // bytes of a size's line, or a trailer's, at the most
+)
+
+var errChunks = errors.New("chunks that cannot be read")
+
+// feed takes further bytes of the answer and hands their payload on.
+func (c *chunks) feed(b []byte, payload func([]byte)) error {
+	for len(b) > 0 {
+		if c.Phase == inData {
+			n := min(int64(len(b)), c.Size)
+			payload(b[:n])
+			if b, c.Size = b[n:], c.Size-n; c.Size == 0 {
+				c.Phase = afterData
+			}
+			continue
+		}
+		if err := c.byte(b[0]); err != nil {
+			return err
+		}
+		b = b[1:]
+	}
+	return nil
+}
+
+func (c *chunks) byte(x byte) error {
+	switch c.Phase {
+	case inHead:
+		c.head(x)
+	case inSize:
+		return c.size(x)
+	case afterData:
+		if x == '\n' {
+			c.Phase = inSize
+		} else if x != '\r' {
+			return errChunks
+		}
+	case inTrailer:
+		switch {
+		case x == '\n' && c.Line == 0:
+			c.Phase = isOver
+		case x == '\n':
+			c.Line = 0
+		case x != '\r':
+			if c.Line++; c.Line > chunkLine {
+				return errChunks
+			}
+		}
+	case isOver:
+		return errSpent
+	}
+	return nil
+}
+
+// head follows heads up to the last; those of 1xx answers come ahead of it.
+func (c *chunks) head(x byte) {
+	if len(c.Status) <= statusAt {
+		c.Status += string(x)
+	}
+	switch {
+	case x == headEnd[c.Matched]:
+		c.Matched++
+	case x == '\r':
+		c.Matched = 1
+	default:
+		c.Matched = 0
+	}
+	if c.Matched == len(headEnd) {
+		if c.Status[statusAt:] != "1" {
+			c.Phase = inSize
+		}
+		c.Matched, c.Status = 0, ""
+	}
+}
+
+func (c *chunks) size(x byte) error {
+	if c.Line++; c.Line > chunkLine {
+		return errChunks
+	}
+	digit := int64(-1)
+	switch {
+	case x >= '0' && x <= '9':
+		digit = int64(x - '0')
+	case x|0x20 >= 'a' && x|0x20 <= 'f':
+		digit = int64(x|0x20-'a') + 10
+	}
+	switch {
+	case x == '\n':
+		c.Phase, c.Line, c.Other = inData, 0, false
+		if c.Size == 0 {
+			c.Phase = inTrailer
+		}
+	case c.Other:
+	case digit < 0:
+		c.Other = true
+	default:
+		if c.Size = c.Size<<4 | digit; c.Size > streamMost {
+			return errChunks
+		}
+	}
+	return nil
+}
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +15,8 @@
 
 const headEnd = "\r\n\r\n"
 
+var errFrozen = errors.New("the stream moves to another process")
+
 var errSpent = errors.New("the connection holds what no request asked for, or its end")
 
 // keep is for how long links to a real server are used again after they rested. The server may drop one without a
@@ -62,14 +65,36 @@
 	spent    bool          // of no further use
 	broken   bool          // the connection has failed or ended
 	headEnd  int           // of the request's head, bytes of headEnd seen in a row
+	chunks   chunks        // where the answer stands
+	lost     bool          // that is not known
+	frozen   bool          // nothing more is read here
 	owed     int           // bytes of the request that are not written; its head counts as one until its end
 }
 
 // Read hands on the answer and nothing behind it.
 func (l *link) Read(b []byte) (int, error) {
+	l.mu.Lock()
+	frozen := l.frozen
+	l.mu.Unlock()
+	if frozen {
+		return 0, errFrozen
+	}
+	n, err := l.read(b)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.chunks.feed(b[:n], func([]byte) {}) != nil {
+		l.lost = true
+	}
+	return n, err
+}
+
+func (l *link) read(b []byte) (int, error) {
 	n, err := l.Conn.Read(b)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.frozen && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, errFrozen
+	}
 	l.broken = l.broken || err != nil
 	if l.spent || n > 0 && l.ended {
 		l.spent = true
@@ -97,11 +122,30 @@
 	return n, err
 }
 
+// freeze has the answer's reader find errFrozen once it has taken all that was read. False: the answer is over, or nearly.
+func (l *link) freeze() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.frozen || l.ended || l.spent || l.broken {
+		return false
+	}
+	l.frozen = true
+	return l.Conn.SetReadDeadline(time.Now()) == nil
+}
+
+// where is where the answer stands. False: that is not known, or there is nothing left of it.
+func (l *link) where() (chunks, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chunks, !l.lost && l.chunks.Phase > inHead && l.chunks.Phase < isOver
+}
+
 // begin tells that the next write is the first of a request with such a body. A server may answer before the last.
 func (l *link) begin(body int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts, l.headEnd, l.owed = true, 0, 1+body
+	l.chunks, l.lost = chunks{}, false
 }
 
 // note follows a request that is written to its last byte, which alone says that it may run: http.Transport says that a
--- /dev/null
+++ b/internal/realserver/moving.go
@@ -0,0 +1,183 @@
+package realserver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"standpoint"
+	"standpoint/internal/node"
+)
+
+// Stream is an answer that is being passed on, as one process leaves it to another: with the two connections, of the
+// client and of the real server, the other goes on from the next byte.
+type Stream struct {
+	Trace  string             `json:"trace"`
+	Class  int                `json:"class"`
+	Server string             `json:"server"`
+	Begun  []byte             `json:"begun"` // of an event that is not whole yet
+	Size   int                `json:"size"`  // of all that came
+	Kept   float64            `json:"kept"`
+	Tokens float64            `json:"tokens"`
+	Report *standpoint.Report `json:"report"`
+	Done   bool               `json:"done"` // its last event has come
+	Held   time.Duration      `json:"held"`
+	Chunks chunks             `json:"chunks"`
+}
+
+// DecodeStream reads a stream that another process leaves.
+func DecodeStream(raw []byte) (Stream, error) {
+	var s Stream
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return Stream{}, fmt.Errorf("a stream that cannot be read: %w", err)
+	}
+	c := &s.Chunks
+	if len(s.Begun) > eventMost || s.Size < 0 || s.Size > streamMost || s.Held < 0 || s.Trace == "" || c.Phase < inSize || c.Phase >= isOver ||
+		c.Size < 0 || c.Size > streamMost || c.Line < 0 || c.Line > chunkLine || c.Phase == inData && c.Size == 0 {
+		return Stream{}, errors.New("a stream that cannot be")
+	}
+	return s, nil
+}
+
+// passage is a stream that is passed on, as far as it has come.
+type passage struct {
+	begun  bool
+	buffer []byte // of an event that is not whole yet
+	end    tail
+	size   int
+	held   time.Duration
+}
+
+// live are the streams that are passed on now, and where they move to once they do.
+type live struct {
+	mu  sync.Mutex
+	all map[*link]bool
+	to  func(s Stream, client, server int) error // nil: they stay
+}
+
+func (v *live) add(l *link) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.all[l] = true
+}
+
+func (v *live) remove(l *link) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.all, l)
+}
+
+// Move has all begun streams that can move leave this process: to takes each, with its client's and its server's descriptor, and
+// an error says that it was not taken. It returns how many are asked to move.
+func (f *Fleet) Move(to func(s Stream, client, server int) error) int {
+	f.live.mu.Lock()
+	defer f.live.mu.Unlock()
+	f.live.to = to
+	n := 0
+	for l := range f.live.all {
+		if l.freeze() {
+			n++
+		}
+	}
+	return n
+}
+
+// leave moves a stream whose link was frozen. It ends here in any case: moved, or broken off.
+func (v *live) leave(p *passage, a *node.Attempt, l *link) (node.Result, error) {
+	v.mu.Lock()
+	to := v.to
+	v.mu.Unlock()
+	lost := node.Result{Code: standpoint.Cancelled}
+	where, ok := l.where()
+	if to == nil || !ok {
+		return lost, errors.New("where the answer stands is not known")
+	}
+	server, err := duplicate(l.Conn)
+	if err != nil {
+		return lost, err
+	}
+	defer unix.Close(server)
+	client, err := a.Detach()
+	if err != nil {
+		return lost, err
+	}
+	defer unix.Close(client)
+	err = to(Stream{Trace: a.Flow.Work.TraceID, Class: a.Flow.Request.Class, Server: a.Server, Begun: p.buffer, Size: p.size, Kept: p.end.kept,
+		Tokens: p.end.tokens, Report: p.end.report, Done: p.end.done, Held: p.held, Chunks: where}, client, server)
+	return node.Result{Code: standpoint.Cancelled, Moved: err == nil}, err
+}
+
+// duplicate is another descriptor of a connection's socket. It outlives the connection's own.
+func duplicate(c net.Conn) (int, error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.New("a connection without a descriptor")
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var fd int
+	var failed error
+	if err := raw.Control(func(own uintptr) { fd, failed = unix.FcntlInt(own, unix.F_DUPFD_CLOEXEC, 0) }); err != nil {
+		return 0, err
+	}
+	return fd, failed
+}
+
+// Duplicate is duplicate, for the clients' side.
+func Duplicate(c net.Conn) (int, error) { return duplicate(c) }
+
+// Carry passes on a stream that another process has begun, from the next byte of its server's connection to its end.
+func (f *Fleet) Carry(s Stream, server net.Conn, a *node.Attempt) {
+	defer server.Close()
+	ctx, cancel := context.WithCancelCause(a.Context())
+	defer cancel(nil)
+	l := &link{Conn: server, keep: &keep{}, chunks: s.Chunks}
+	defer context.AfterFunc(ctx, func() { _ = server.SetReadDeadline(time.Now()) })()
+	p := &passage{begun: true, buffer: append(make([]byte, 0, readSize), s.Begun...), size: s.Size, held: s.Held,
+		end: tail{kept: s.Kept, tokens: s.Tokens, report: s.Report, done: s.Done}}
+	result, err := f.live.pass(ctx, cancel, &rest{link: l, chunks: s.Chunks}, p, a, l)
+	if err != nil {
+		f.Log.Info("a stream that was taken over ended", zap.String("server", s.Server), zap.String("trace", s.Trace), zap.Bool("moved", result.Moved), zap.Error(err))
+	}
+	a.End(result)
+}
+
+// rest is what is still to come of an answer in chunks.
+type rest struct {
+	link    *link
+	chunks  chunks
+	payload []byte // read and not asked for yet
+}
+
+func (r *rest) Read(b []byte) (int, error) {
+	for len(r.payload) == 0 {
+		if r.chunks.Phase == isOver {
+			return 0, io.EOF
+		}
+		raw := make([]byte, 4<<10)
+		n, err := r.link.Read(raw)
+		if bad := r.chunks.feed(raw[:n], func(p []byte) { r.payload = append(r.payload, p...) }); bad != nil && len(r.payload) == 0 && r.chunks.Phase != isOver {
+			return 0, bad
+		}
+		if err == io.EOF && r.chunks.Phase != isOver {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && len(r.payload) == 0 && r.chunks.Phase != isOver {
+			return 0, err
+		}
+	}
+	n := copy(b, r.payload)
+	r.payload = r.payload[n:]
+	return n, nil
+}
--- /dev/null
+++ b/internal/realserver/moving_test.go
@@ -0,0 +1,85 @@
+package realserver
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const wholeAnswer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+	"6\r\ndata: \r\n1A;ext=1\r\n{\"choices\":[{\"delta\":{}}]}\r\n2\r\n\n\n\r\n000e\r\ndata: [DONE]\n\n\r\n0\r\nTrailer: t\r\n\r\n"
+
+const wholePayload = "data: {\"choices\":[{\"delta\":{}}]}\n\ndata: [DONE]\n\n"
+
+// An answer may be left at any byte: what was read and what the other process reads from there make the whole.
+func TestAnswerLeftAtAnyByte(t *testing.T) {
+	for at := 0; at <= len(wholeAnswer); at++ {
+		var c chunks
+		var payload bytes.Buffer
+		take := func(p []byte) { payload.Write(p) }
+		require.NoError(t, c.feed([]byte(wholeAnswer[:at]), take))
+		raw, err := json.Marshal(c)
+		require.NoError(t, err)
+		var there chunks
+		require.NoError(t, json.Unmarshal(raw, &there))
+		require.Equal(t, c, there)
+		if c.Phase == inHead {
+			require.Empty(t, payload.Bytes())
+			continue
+		}
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.WriteString(far, wholeAnswer[at:])
+			far.Close()
+		}()
+		left, err := io.ReadAll(&rest{link: &link{Conn: near, keep: &keep{}, chunks: there}, chunks: there})
+		require.NoError(t, err, "from byte %d", at)
+		require.Equal(t, wholePayload, payload.String()+string(left), "from byte %d", at)
+		near.Close()
+	}
+	for _, bad := range []string{"7fffffffffffffff\r\n", "2000000\r\n", "1\r\nab", string(bytes.Repeat([]byte("0"), 2*chunkLine))} {
+		c := chunks{Phase: inSize}
+		require.Error(t, c.feed([]byte(bad), func([]byte) {}), bad)
+	}
+}
+
+// A server that goes away in the middle has broken the stream off, wherever that is.
+func TestAnswerThatEndsEarly(t *testing.T) {
+	begin := len(wholeAnswer) - len("6\r\ndata: \r\n") - 60
+	for at := begin; at < len(wholeAnswer)-1; at++ {
+		c := chunks{}
+		require.NoError(t, c.feed([]byte(wholeAnswer[:begin]), func([]byte) {}))
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.WriteString(far, wholeAnswer[begin:at])
+			far.Close()
+		}()
+		_, err := io.ReadAll(&rest{link: &link{Conn: near, keep: &keep{}, chunks: c}, chunks: c})
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "at byte %d", at)
+	}
+}
+
+func FuzzDecodeStream(f *testing.F) {
+	good, _ := json.Marshal(Stream{Trace: "t", Class: 1, Chunks: chunks{Phase: inData, Size: 7}}) // a constant form: cannot fail
+	f.Add(good)
+	f.Add([]byte(`{"trace":"t","chunks":{"phase":1,"size":-1}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := DecodeStream(raw)
+		if err != nil {
+			return
+		}
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.WriteString(far, wholeAnswer)
+			far.Close()
+		}()
+		got, _ := io.ReadAll(&rest{link: &link{Conn: near, keep: &keep{}, chunks: s.Chunks}, chunks: s.Chunks}) // any end will do
+		require.LessOrEqual(t, len(got), len(wholeAnswer))
+		near.Close()
+	})
+}
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -52,10 +52,13 @@
 	mu sync.Mutex
 	Options
 	servers map[string]actor
+	live    *live
 }
 
 // New makes an empty fleet.
-func New(o Options) *Fleet { return &Fleet{Options: o, servers: map[string]actor{}} }
+func New(o Options) *Fleet {
+	return &Fleet{Options: o, servers: map[string]actor{}, live: &live{all: map[*link]bool{}}}
+}
 
 // Update takes in news of the service entries: new servers get an actor, moved ones hear of it, those gone
 // are let go of; attempts that are out at them run on.
@@ -102,7 +105,7 @@
 			out: map[*parcel]bool{}, ended: make(chan *parcel)}
 		go s.run(e.Address)
 	} else {
-		go (&server{f.Options, a, &keep{}}).run(moved{e.Address, e.ReadyAt})
+		go (&server{f.Options, a, &keep{}, f.live}).run(moved{e.Address, e.ReadyAt})
 	}
 	return a
 }
@@ -170,6 +173,7 @@
 	Options
 	actor
 	keep *keep
+	live *live
 }
 
 // run works the mailbox. Each attempt waits on its connection in a goroutine of its own: a silent
@@ -339,58 +343,77 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return node.Result{Code: standpoint.ServerError}, errors.New("an answer whose end cannot be told from a break")
 	}
+	p := &passage{buffer: make([]byte, 0, readSize), end: tail{report: parseReport(response.Header.Get(LoadHeader))}}
+	if response.ContentLength >= 0 {
+		l = nil // it does not come in chunks, and cannot move
+	}
+	return s.live.pass(ctx, cancel, response.Body, p, a, l)
+}
+
+// pass carries a stream on to its end. l, if not nil, is the link that it can move with.
+func (v *live) pass(ctx context.Context, cancel context.CancelCauseFunc, body io.Reader, p *passage, a *node.Attempt, l *link) (node.Result, error) {
 	// Connections to a machine that vanished stay open and silent; the client is not left waiting on one.
-	begun := false
+	if l != nil {
+		defer v.remove(l)
+	}
+	if p.begun && l != nil {
+		v.add(l)
+	}
 	quiet := time.AfterFunc(openQuiet, func() { cancel(errNoEvent) })
+	if p.begun {
+		quiet.Stop()
+		quiet = time.AfterFunc(streamQuiet, func() { cancel(errQuiet) })
+	}
 	defer func() { quiet.Stop() }()
-	end := tail{report: parseReport(response.Header.Get(LoadHeader))}
-	buffer := make([]byte, 0, readSize)
-	size := 0
-	var held time.Duration
 	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+		if len(p.buffer) == cap(p.buffer) {
+			p.buffer = append(p.buffer, 0)[:len(p.buffer)]
 		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		size += n
-		whole := bytes.LastIndex(buffer, []byte("\n\n")) + 2
-		if err == io.EOF && begun {
-			whole = len(buffer)
+		n, err := body.Read(p.buffer[len(p.buffer):cap(p.buffer)])
+		p.buffer = p.buffer[:len(p.buffer)+n]
+		p.size += n
+		whole := bytes.LastIndex(p.buffer, []byte("\n\n")) + 2
+		if err == io.EOF && p.begun {
+			whole = len(p.buffer)
 		}
 		if whole > 1 {
-			if noted := end.note(buffer[:whole]); noted != nil {
+			if noted := p.end.note(p.buffer[:whole]); noted != nil {
 				return node.Result{Code: standpoint.ServerError}, noted
 			}
-			if !begun {
+			if !p.begun {
 				if !a.First() {
 					return node.Result{Code: failure(ctx, true, nil)}, errors.New("the flow is over")
 				}
-				begun = true
+				p.begun = true
 				quiet.Stop()
 				quiet = time.AfterFunc(streamQuiet, func() { cancel(errQuiet) })
+				if l != nil {
+					v.add(l)
+				}
 			}
 			// While the client takes it, it is not the server that is silent; nor is that time part of its pace.
 			quiet.Stop()
 			from := time.Now()
-			err := a.Event(buffer[:whole])
+			err := a.Event(p.buffer[:whole])
 			if wait := time.Since(from); wait > node.HeldLeast {
-				held += wait
+				p.held += wait
 			}
 			quiet.Reset(streamQuiet)
 			if err != nil {
 				return node.Result{Code: standpoint.Cancelled}, err
 			}
-			buffer = append(buffer[:0], buffer[whole:]...)
+			p.buffer = append(p.buffer[:0], p.buffer[whole:]...)
 		}
 		switch {
-		case err == io.EOF && begun && end.done:
-			return node.Result{Code: standpoint.Served, Kept: end.kept, Tokens: end.tokens, Report: end.report, Held: held}, nil
+		case err == io.EOF && p.begun && p.end.done:
+			return node.Result{Code: standpoint.Served, Kept: p.end.kept, Tokens: p.end.tokens, Report: p.end.report, Held: p.held}, nil
 		case err == io.EOF:
-			return node.Result{Code: standpoint.ServerError, Report: end.report}, errors.New("the answer ends before its last event")
+			return node.Result{Code: standpoint.ServerError, Report: p.end.report}, errors.New("the answer ends before its last event")
+		case errors.Is(err, errFrozen) && l != nil:
+			return v.leave(p, a, l)
 		case err != nil:
-			return node.Result{Code: failure(ctx, true, l), Report: end.report}, err
-		case len(buffer) > eventMost, size > streamMost:
+			return node.Result{Code: failure(ctx, true, l), Report: p.end.report}, err
+		case len(p.buffer) > eventMost, p.size > streamMost:
 			return node.Result{Code: standpoint.ServerError}, errors.New("the answer, or one event of it, does not end")
 		}
 	}
