--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -63,7 +63,7 @@
 			require.NoError(t, err)
 			require.Contains(t, string(page), "<svg")
 			require.NotContains(t, strings.ReplaceAll(string(page), "http://www.w3.org/", ""), "http://", "the page needs nothing else")
-			for _, name := range []string{"service.png", "first.png", "refused.png", "waste.png"} {
+			for _, name := range []string{"service.png", "first.png", "refused.png", "waste.png", "share-1.png", "share-3.png"} {
 				require.FileExists(t, filepath.Join(dir, name))
 			}
 			again, err := load.ReadFile[Report](filepath.Join(dir, "report.json"))
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -22,6 +22,7 @@
 	Pattern     string    `toml:"pattern" json:"pattern,omitempty"` // requests a second
 	Spread      *float64  `toml:"spread" json:"spread,omitempty"`   // of the boxes' true speeds, as a factor's logarithm
 	ListLate    load.Span `toml:"list_late" json:"list_late,omitempty"`
+	ReportLate  load.Span `toml:"report_late" json:"report_late,omitempty"` // how old reports are, at the least, when they come
 	ReportLost  float64   `toml:"report_lost" json:"report_lost,omitempty"`
 	MessageLost float64   `toml:"message_lost" json:"message_lost,omitempty"`
 	// ReportEvery is how often a box makes a new report; what it tells in between is as old.
@@ -132,6 +133,9 @@
 	if v.ListLate != 0 {
 		w.ListLate = v.ListLate
 	}
+	if v.ReportLate != 0 {
+		w.ReportLate = v.ReportLate
+	}
 	if v.ReportLost != 0 {
 		w.ReportLost = v.ReportLost
 	}
@@ -147,7 +151,7 @@
 // setup is the world for the laboratory.
 func (w World) setup(seed uint64) (lab.Setup, error) {
 	s := lab.Setup{Seed: seed, Nodes: w.Nodes, Old: w.Boxes, Spread: 0.1, Policy: w.Policy, ListLate: time.Duration(w.ListLate).Seconds(),
-		ReportLost: w.ReportLost, MessageLost: w.MessageLost}
+		ReportLate: time.Duration(w.ReportLate).Seconds(), ReportLost: w.ReportLost, MessageLost: w.MessageLost}
 	if s.Policy == "" {
 		s.Policy = "module"
 	}
@@ -171,6 +175,8 @@
 		return s, fmt.Errorf("list_late: %g s is not from 0 to 60", s.ListLate)
 	case w.ReportEvery < 0 || w.ReportEvery > load.Span(time.Minute):
 		return s, fmt.Errorf("report_every: %v is not from 0s to 1m", time.Duration(w.ReportEvery))
+	case s.ReportLate < 0 || s.ReportLate > 60:
+		return s, fmt.Errorf("report_late: %g s is not from 0 to 60", s.ReportLate)
 	case !part(s.ReportLost):
 		return s, fmt.Errorf("report_lost: %g is not from 0 to below 1", s.ReportLost)
 	case !part(s.MessageLost):
--- a/internal/experiment/page.go
+++ b/internal/experiment/page.go
@@ -84,8 +84,52 @@
 	}); err != nil {
 		return nil, err
 	}
+	shares, err := r.shares()
+	if err != nil {
+		return nil, err
+	}
 	bars, err := r.bars()
-	return append(all, bars...), err
+	return append(append(all, shares...), bars...), err
+}
+
+// shares are one picture a variant: which part of the attempts each box got over time, one on the other up to 1.
+func (r *Report) shares() ([]picture, error) {
+	var all []picture
+	for i := range r.Variants {
+		v := &r.Variants[i]
+		if len(v.Over) < smooth || len(v.Over[0].Boxes) == 0 {
+			continue
+		}
+		p := plot.New()
+		p.Title.Text = "Share of the attempts by box: " + v.Name
+		p.X.Label.Text, p.Y.Min, p.Y.Max = "seconds", 0, 1
+		under := make([]float64, len(v.Over)/smooth)
+		for box := range v.Over[0].Boxes {
+			var lower, upper plotter.XYs
+			for k := range under {
+				x, whole, own := float64(k*smooth)+smooth/2, 0, 0
+				for _, s := range v.Over[k*smooth : (k+1)*smooth] {
+					for b, n := range s.Boxes {
+						whole += n
+						if b == box {
+							own += n
+						}
+					}
+				}
+				lower = append(plotter.XYs{{X: x, Y: under[k]}}, lower...) // back again, under the box's own part
+				under[k] += float64(own) / max(1, float64(whole))
+				upper = append(upper, plotter.XY{X: x, Y: under[k]})
+			}
+			area, err := plotter.NewPolygon(append(upper, lower...))
+			if err != nil {
+				return nil, err
+			}
+			area.Color, area.LineStyle.Width = plotutil.Color(box), vg.Points(0.3)
+			p.Add(area)
+		}
+		all = append(all, picture{fmt.Sprintf("share-%d", i+1), p.Title.Text, p})
+	}
+	return all, nil
 }
 
 // bars hold the variants against each other, figure by figure, with the interval of their difference to the first.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -134,6 +134,12 @@
 		to := &v.Over[i]
 		to.Asked, to.InTime, to.Down = to.Asked+s.Asked, to.InTime+s.InTime, to.Down+s.Down
 		to.First99 = max(to.First99, s.First99)
+		for box, n := range s.Boxes {
+			if box == len(to.Boxes) {
+				to.Boxes = append(to.Boxes, 0)
+			}
+			to.Boxes[box] += n
+		}
 	}
 	o.Seconds = nil
 	v.Runs = append(v.Runs, o)
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -132,6 +132,9 @@
 	}
 	until := float64(act.Until-epoch) / 1e9
 	w.attempts++
+	if s := w.second(w.now); s.Boxes != nil {
+		s.Boxes[m.index]++
+	}
 	m.coming++
 	lost := w.MessageLost > 0 && w.lost.Float64() < w.MessageLost
 	w.At(w.now+hop, func() {
@@ -249,8 +252,7 @@
 		o.First, o.Own, o.Decode = span(t.begun-a.arrivedHere()), span(t.begun-t.sent), span(w.now-t.begun)
 	}
 	if code == standpoint.Served && (w.ReportLost == 0 || w.lost.Float64() >= w.ReportLost) {
-		l := t.box.Load(w.now)
-		o.Result.Report = &standpoint.Report{Memory: l.Memory, Unread: l.Unread, Slots: l.Slots}
+		o.Result.Report = w.reported(t.box)
 	}
 	if code == standpoint.Served {
 		o.Result.Tokens = float64(t.made)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -73,3 +73,33 @@
 		require.Less(t, r.Peak, 1.0)
 	}
 }
+
+// Reports that come late are those that the box made then, and none comes before there is one; what each box got is
+// kept by second, as long as boxes are few.
+func TestLateReportsAndShares(t *testing.T) {
+	w := New(Setup{Seed: 1, Nodes: 1, Rate: 20, Old: 3, ReportLate: 2})
+	m := w.boxes[0]
+	require.Nil(t, w.reported(m), "nothing is two seconds old yet")
+	first := m.Load(w.now)
+	w.Run(5)
+	require.NotZero(t, m.Load(w.now).Slots+m.Load(w.now).Memory, "it works by now")
+	late := w.reported(m)
+	require.NotNil(t, late)
+	kept := m.reports[0]
+	require.LessOrEqual(t, kept.at, 3.0)
+	require.Equal(t, kept.report.Memory, late.Memory)
+	w.Run(30)
+	require.LessOrEqual(t, len(m.reports), 8, "what is older than the newest that may come is let go of")
+	require.Zero(t, first.Slots)
+	sent := 0
+	for _, s := range w.Seconds {
+		require.Len(t, s.Boxes, 3)
+		for _, n := range s.Boxes {
+			sent += n
+		}
+	}
+	require.Equal(t, w.attempts, sent)
+	large := New(Setup{Seed: 1, Nodes: 1, Rate: 20, Old: sharesMost + 1})
+	large.Run(2)
+	require.Nil(t, large.Seconds[0].Boxes)
+}
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -50,6 +50,7 @@
 	Asked, InTime float64
 	First99       float64
 	Down          int
+	Boxes         []int `json:"boxes,omitempty"` // attempts sent, by box
 }
 
 // Run runs a trial. The same trial gives the same outcome, whatever the machine.
@@ -105,7 +106,7 @@
 	for i := int(from); i < min(len(w.Seconds), int(end)); i++ {
 		s := w.Seconds[i]
 		asked, good, down, o.Asked = asked+s.Asked, good+s.InTime, down+s.Shed, o.Asked+s.Requests
-		in := Instant{Asked: s.Asked, InTime: s.InTime, Down: s.Shed}
+		in := Instant{Asked: s.Asked, InTime: s.InTime, Down: s.Shed, Boxes: s.Boxes}
 		if late := bySecond[i]; len(late) > 0 {
 			in.First99 = quantile(late, 0.99)
 		}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -71,9 +71,10 @@
 	// Policy decides at each node; "" is the module. Pattern, if any, stands in for Rate.
 	Policy  string
 	Pattern rateOver
-	// ListLate is how late, in seconds, a node may hear of the list; ReportLost the part of the boxes' reports that is
+	// ListLate is how late, in seconds, a node may hear of the list; ReportLate how old a report is, at the least, when it
+	// comes with an answer; ReportLost the part of the boxes' reports that is
 	// lost; MessageLost the part of the attempts that never arrive.
-	ListLate, ReportLost, MessageLost float64
+	ListLate, ReportLate, ReportLost, MessageLost float64
 }
 
 // World runs one setup.
@@ -105,7 +106,8 @@
 type Second struct {
 	Asked, InTime  float64 // worth
 	Requests, Shed int
-	To             int // that were assigned to the new pool
+	Boxes          []int // attempts sent in this second, by box; nil where there are more than sharesMost
+	To             int   // that were assigned to the new pool
 }
 
 // machine is a box with its place in the world.
@@ -122,6 +124,14 @@
 	drainedAt float64 // when its drain was told; 0: never
 	coming    int     // attempts on their way
 	fell      bool    // pushed over while it was cold
+	index     int
+	reports   []dated // the latest that it made, the oldest first
+}
+
+// dated is a report and when it was made.
+type dated struct {
+	at     float64
+	report box.Report
 }
 
 // ask is a request of a client.
@@ -262,7 +272,7 @@
 		kind := i % len(s.Kinds)
 		f := s.Kinds[kind]
 		f.Capacity = f.Able(700, 1500, 105, 0.05)
-		m := &machine{Box: box.New(f, s.Seed*1000+uint64(i), started), name: boxName(i), pool: number, kind: kind, jobs: map[int64]*try{}}
+		m := &machine{Box: box.New(f, s.Seed*1000+uint64(i), started), name: boxName(i), pool: number, kind: kind, index: i, jobs: map[int64]*try{}}
 		m.Slow(math.Exp((w.rng.Float64()*2 - 1) * s.Spread))
 		if started == 0 {
 			m.readyAt = epoch
@@ -315,6 +325,40 @@
 	})
 }
 
+// sharesMost is up to how many boxes it is kept which of them the attempts of each second went to.
+const sharesMost = 64
+
+// second is the figures of the second in which a moment lies.
+func (w *World) second(at float64) *Second {
+	for len(w.Seconds) <= int(at) {
+		s := Second{}
+		if len(w.boxes) <= sharesMost {
+			s.Boxes = make([]int, len(w.boxes))
+		}
+		w.Seconds = append(w.Seconds, s)
+	}
+	return &w.Seconds[int(at)]
+}
+
+// reported is the report that an answer of a box brings now: the newest that is as old as reports are late. Nil: there is
+// none yet.
+func (w *World) reported(m *machine) *standpoint.Report {
+	l := m.Load(w.now)
+	if n := len(m.reports); n == 0 || m.reports[n-1].report != l {
+		m.reports = append(m.reports, dated{w.now, l})
+	}
+	newest := -1
+	for newest+1 < len(m.reports) && m.reports[newest+1].at <= w.now-w.ReportLate {
+		newest++
+	}
+	if newest < 0 {
+		return nil
+	}
+	m.reports = m.reports[newest:]
+	l = m.reports[0].report
+	return &standpoint.Report{Memory: l.Memory, Unread: l.Unread, Slots: l.Slots}
+}
+
 func zipf(r *rand.Rand, n int) int {
 	return int(math.Pow(float64(n), r.Float64())) - 1
 }
@@ -338,10 +382,7 @@
 	a := &ask{class: c, session: s, arrived: w.now, second: int(w.now)}
 	a.request = standpoint.Request{Class: s.class, Session: s.key, Prefix: s.prefix, PromptTokens: s.length, PrefixTokens: s.shared,
 		MaxTokens: c.MaxOut}
-	for len(w.Seconds) <= a.second {
-		w.Seconds = append(w.Seconds, Second{})
-	}
-	w.Seconds[a.second].Requests++
+	w.second(w.now).Requests++
 	w.Seconds[a.second].Asked += c.Worth
 	w.present(a)
 }
