--- a/router.go
+++ b/router.go
@@ -17,7 +17,7 @@
 
 	gateMatch    = 0.80      // share of the prompt kept that opens the gate (DESIGN)
 	exploreRate  = 0.01      // chance of leaving the gate out (DESIGN)
-	breakTTFT    = 2.0       // seconds the gated best may trail the best overall (DESIGN)
+	breakTTFT    = 5.0       // seconds the gated best may trail the best overall (DESIGN)
 	ttftWeight   = 0.8       // of headroom; the rest is pace (DESIGN)
 	sampleSize   = 3         // engines of the highest rank that are looked at, besides matches
 	wholeFleet   = 64        // a fleet up to this size is gone over whole for each request
@@ -728,7 +728,7 @@
 	o.x = r.features(q, o.e, o.match)
 	k := r.kind(o.e)
 	f := math.Exp(o.e.speed)
-	o.ttft = max(r.ttft[k].at(&o.x)*f, o.e.waited(r.now)) // who comes now is read after those who wait
+	o.ttft = r.ttft[k].at(&o.x) * f
 	sway := r.gapSway() + max(0, o.e.speed)
 	if own := o.e.drag.n / (o.e.drag.n + dragTrust); own > 0 { // told gaps show this engine's own
 		sway += own * (o.e.drag.mean - sway)
--- a/state.go
+++ b/state.go
@@ -147,14 +147,6 @@
 	return n
 }
 
-// waited is for how long, in seconds, the own attempt that waits longest for a sign of life has done so.
-func (e *engine) waited(now int64) float64 {
-	if len(e.waiting) == 0 {
-		return 0
-	}
-	return seconds(now - e.waiting[0].sent)
-}
-
 // tried tells that an attempt of the request went to e.
 func (q *request) tried(e *engine) bool {
 	for _, a := range q.attempts {
