Laboratory: boxes beyond the thousandth have names of their own

Ruled out: the module (two choices and prefix affinity fall too) and the load (equal per box). Cause: boxName (gateway.go) took the last three digits of 1000+i, so that 3,000 boxes shared 1,000 names, and one in three had the work of all three. Test: 2,500 boxes have 2,500 names; fails before.

--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -1,7 +1,7 @@
 package lab
 
 import (
-	"strconv"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,7 +14,7 @@
 
 var nopLog = zap.NewNop()
 
-func boxName(i int) string { return "box-" + strconv.Itoa(1000 + i)[1:] }
+func boxName(i int) string { return fmt.Sprintf("box-%03d", i) }
 
 func poolDefinitions() []pool.Definition {
 	var all []pool.Definition
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -103,3 +103,10 @@
 	large.Run(2)
 	require.Nil(t, large.Seconds[0].Boxes)
 }
+
+// Each box has its own name in a large fleet too: the nodes would else know a part of it, and drown that.
+func TestBoxesOfALargeFleetHaveTheirOwnNames(t *testing.T) {
+	w := New(Setup{Seed: 1, Nodes: 1, Rate: 1, Old: 2500})
+	require.Len(t, w.byName, 2500)
+	require.Equal(t, "box-007", boxName(7))
+}
