Out by hand: put back, a server's first request does not wait where few nodes share it

Seen: in the story of a node whose only server is put back, the request that waits goes out up to 5 s later: the cold budget begins at 0.5 to 1 of a request, and a node with little traffic saves up 0.1 a second. Ruled out: the overlay (told at once) and the pick (nothing else there). Change: the budget of a server put back begins at 1 less half of a draw, times what other nodes may take at the same moment: 1 for one node, 0.75 to 1 for two, 0.5 to 1 for many. Test: the story, with a request that waits through the ban, and what runs going on.

--- a/internal/daemon/console_test.go
+++ b/internal/daemon/console_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,7 +43,9 @@
 // stop in the middle, after which there is no way back; a console's address that is taken is named.
 func TestStaff(t *testing.T) {
 	release := make(chan struct{})
+	var sent atomic.Int32
 	server := testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+		sent.Add(1)
 		testpeer.Event(w, "x")
 		if r.Header.Get("X-Trace-Id") == "held" {
 			<-release
@@ -85,6 +88,27 @@
 	defer held.Body.Close()
 	_, text := ops(t, console, "GET", "/ops/stats")
 	require.Contains(t, text, "app.inflight=1\n")
+	// The only server is out: who asks waits, and is sent on once it is back, cold as it is.
+	require.Equal(t, 200, says("POST", "/ops/engines/down?id=box-1"))
+	waits := make(chan string, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(testpeer.Ask(t, listen, "waits", "4900m"))
+		if err != nil {
+			waits <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		waits <- string(body)
+	}()
+	require.Eventually(t, func() bool {
+		_, text := ops(t, console, "GET", "/ops/stats")
+		return strings.Contains(text, "app.inflight=2\n") && strings.Contains(text, "app.hosts_down=1\n")
+	}, 2*time.Second, 5*time.Millisecond)
+	require.EqualValues(t, 1, sent.Load(), "what it has runs on, and nothing new comes")
+	require.Equal(t, 200, says("POST", "/ops/engines/up?id=box-1"))
+	require.Contains(t, <-waits, "[DONE]")
+	require.EqualValues(t, 2, sent.Load())
 	require.Equal(t, 200, says("POST", "/ops/drain/start"))
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	require.Eventually(t, func() bool { return says("POST", "/ops/drain/stop") == 409 }, 5*time.Second, 5*time.Millisecond)
--- a/router.go
+++ b/router.go
@@ -170,7 +170,7 @@
 	if entry.ReadyAt != e.ReadyAt {
 		e.coldTokens, e.coldAt = r.rng.Float64(), r.now
 		if e.due {
-			e.coldTokens = (1 + e.coldTokens) / 2
+			e.coldTokens = 1 - e.coldTokens/2*(1-1/max(1, float64(r.set.Balancers)))
 		}
 	}
 	e.Engine = entry
