--- a/internal/realserver/batchserver.go
+++ b/internal/realserver/batchserver.go
@@ -64,8 +64,9 @@
 		}
 		waiting = nil
 		s.out[p] = true
+		at := address // of this file; the next may go elsewhere
 		go func() {
-			s.carry(address, p)
+			s.carry(at, p)
 			p.stop()
 			s.ended <- p
 		}()
