Upgrade: streams that begin after the word move too; one measure of a client's patience

Read once more: a stream whose first event came after the others had moved stayed and was handed back (live.add); a client's waiting began anew with a move, and was written twice (edge.patience serves both now); a stream for which there was no place left its server's connection open (company.takeOver); the link took three locks a read and made ten strings a head on the way of every answer (link.Read, chunks.head). Tests: on the whole program a stream that begins after the word, half of the limits while there are two processes, and an old process that is killed leaves its part and the bans.

--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -142,7 +142,7 @@
 // descriptor is none, says so and leaves the others serving.
 func TestUpgradeUnderClients(t *testing.T) {
 	ledger := testpeer.NewLedger()
-	boxes, release := map[string]string{}, make(chan struct{})
+	boxes, release, begin := map[string]string{}, make(chan struct{}), make(chan struct{})
 	var mu sync.Mutex
 	used := map[string]time.Time{}
 	for _, name := range []string{"box-1", "box-2", "box-3"} {
@@ -152,7 +152,13 @@
 			mu.Unlock()
 			id := r.Header.Get("X-Trace-Id")
 			ledger.Begin(id)
+			if id == "late" {
+				<-begin
+			}
 			testpeer.Event(w, id)
+			if id == "late" {
+				<-release
+			}
 			if id == "long" {
 				fmt.Fprint(w, `data: {"choices":[{"index":0,"de`)
 				w.(http.Flusher).Flush()
@@ -214,7 +220,23 @@
 	status, _ = first.says("POST", "/ops/engines/down?id=box-3")
 	require.Equal(t, http.StatusOK, status)
 	require.Eventually(t, second.shows("app.hosts_down=2"), time.Second, 5*time.Millisecond)
+	require.Contains(t, second.logged("serving"), `"memory_mb":64,"sockets":256`, "half of the node's, while there are two")
+	// One more begins only once the others have moved.
+	late := make(chan string, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(testpeer.Ask(t, address, "late", "3000m"))
+		if err != nil {
+			late <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		late <- fmt.Sprint(string(body), err)
+	}()
+	require.Eventually(t, func() bool { return ledger.Begun("late") }, 2*time.Second, time.Millisecond)
 	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return first.logged("streams move to the other process") != "" }, 4*time.Second, time.Millisecond)
+	close(begin)
 	require.NoError(t, first.Wait(), first.said)
 	require.True(t, quietSince("box-2", out))
 	// The long answer stood in the middle of an event; its process is gone, and it goes on.
@@ -225,6 +247,8 @@
 	require.Contains(t, string(rest), `data: {"choices":[{"index":0,"delta":{"content":"the rest"}}]}`+"\n\n")
 	require.Contains(t, string(rest), "[DONE]")
 	require.Equal(t, 1, ledger.Sent["long"])
+	require.Contains(t, <-late, "[DONE]")
+	require.Equal(t, 1, ledger.Sent["late"])
 
 	for _, bad := range []string{"77", "three", "1"} {
 		failing := p.start("PROXY_SOCKET_FD=" + bad)
@@ -246,6 +270,15 @@
 	require.True(t, quietSince("box-2", out), "out over two upgrades")
 	stop()
 	clients.Wait()
+	// An old process that is killed leaves its part of the limits, and what staff decided, to the one that lives.
+	last := p.start()
+	require.Eventually(t, last.ready, 6*time.Second, 5*time.Millisecond)
+	require.NoError(t, third.Process.Kill())
+	_ = third.Wait() // killed
+	require.Eventually(t, func() bool {
+		return strings.Contains(last.logged("processes of this node beside this one"), `"others":0,"limits":{"cores":1,"memory_mb":128,"sockets":512}`)
+	}, 2*time.Second, 5*time.Millisecond)
+	require.True(t, last.shows("app.hosts_down=1")())
 	turnedBack.Range(func(id, what any) bool {
 		t.Errorf("%v: %v", id, what)
 		return true
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -147,7 +147,8 @@
 			return false
 		}
 		a.adopted.Go(func() {
-			a.front.Adopt(ctx, client, s.Trace, m.Class, func(attempt *node.Attempt) { a.fleet.Carry(s, server, attempt) })
+			defer server.Close() // where there is no place for the flow nobody carries it
+			a.front.Adopt(ctx, client, s.Trace, m.Class, s.Held, func(attempt *node.Attempt) { a.fleet.Carry(s, server, attempt) })
 		})
 		return true
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -429,8 +429,23 @@
 type connection struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	chunked bool          // the client takes chunks
-	held    time.Duration // for which the client has kept its answer waiting
+	chunked bool // the client takes chunks
+	patience
+}
+
+// patience is what is left of the time for which a client may keep its answer waiting: one for the whole answer, or it
+// could take it with each event.
+type patience struct{ held time.Duration }
+
+// spend has a write done within what is left.
+func (p *patience) spend(deadline func(time.Time) error, write func() error) error {
+	from := time.Now()
+	_ = deadline(from.Add(writeTime - p.held))
+	err := write()
+	if wait := time.Since(from); wait > node.HeldLeast {
+		p.held += wait
+	}
+	return err
 }
 
 func (c *connection) Begin() error {
@@ -440,17 +455,12 @@
 }
 
 // Event writes and flushes at once: an event that waits in a buffer is late. A client that does not read holds a place
-// at a real server meanwhile; the time that it may do so is one for the whole answer, or it could take it with each event.
+// at a real server meanwhile.
 func (c *connection) Event(b []byte) error {
-	from := time.Now()
-	defer func() {
-		if wait := time.Since(from); wait > node.HeldLeast {
-			c.held += wait
+	return c.spend(c.control.SetWriteDeadline, func() error {
+		if _, err := c.w.Write(b); err != nil {
+			return err
 		}
-	}()
-	_ = c.control.SetWriteDeadline(from.Add(writeTime - c.held))
-	if _, err := c.w.Write(b); err != nil {
-		return err
-	}
-	return c.control.Flush()
+		return c.control.Flush()
+	})
 }
--- a/internal/edge/moving.go
+++ b/internal/edge/moving.go
@@ -42,9 +42,9 @@
 	return ""
 }
 
-// Adopt goes on with a client whose answer another process of this node has begun, until the end. Its connection is closed
+// Adopt goes on with a client whose answer another process of this node has begun, until the end. held is for how long it has kept that waiting. Its connection is closed
 // then: it is none of the server's, and its next request may open another.
-func (f *Front) Adopt(ctx context.Context, client net.Conn, trace, class string, carry func(*node.Attempt)) {
+func (f *Front) Adopt(ctx context.Context, client net.Conn, trace, class string, held time.Duration, carry func(*node.Attempt)) {
 	defer client.Close()
 	if f.ids.open(trace, time.Now()) {
 		defer f.ids.close(trace)
@@ -59,7 +59,7 @@
 		_, _ = io.Copy(io.Discard, client)
 		cancel()
 	}()
-	c := &adopted{conn: client}
+	c := &adopted{client, patience{held}}
 	answer, err := f.Core.Adopt(ctx, node.NewFlow(request, node.Work{TraceID: trace}, c), carry)
 	if err != nil {
 		f.Log.Warn("a stream was not taken over", zap.String("trace", trace), zap.Error(err))
@@ -74,23 +74,18 @@
 // adopted is the edge connection of a flow whose answer another process has begun.
 type adopted struct {
 	conn net.Conn
-	held time.Duration
+	patience
 }
 
 // Begin does nothing: the answer has begun.
 func (c *adopted) Begin() error { return nil }
 
-// Event writes a chunk, in one piece. A client may keep its answer waiting as elsewhere.
+// Event writes a chunk, in one piece.
 func (c *adopted) Event(b []byte) error {
-	from := time.Now()
-	defer func() {
-		if wait := time.Since(from); wait > node.HeldLeast {
-			c.held += wait
-		}
-	}()
-	_ = c.conn.SetWriteDeadline(from.Add(writeTime - c.held))
-	_, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(b), b)
-	return err
+	return c.spend(c.conn.SetWriteDeadline, func() error {
+		_, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(b), b)
+		return err
+	})
 }
 
 // Detach implements node.Detacher.
--- a/internal/realserver/chunks.go
+++ b/internal/realserver/chunks.go
@@ -9,7 +9,8 @@
 	Line    int        `json:"line"`  // bytes of the line that comes
 	Other   bool       `json:"other"` // the line has gone on to what is no size
 	Matched int        `json:"matched"`
-	Status  string     `json:"status"` // the head's first bytes
+	Head    int        `json:"head"`  // bytes of the head
+	Early   bool       `json:"early"` // it is that of a 1xx answer, ahead of the answer's own
 }
 
 type chunkPhase int
@@ -80,9 +81,10 @@
 
 // head follows heads up to the last; those of 1xx answers come ahead of it.
 func (c *chunks) head(x byte) {
-	if len(c.Status) <= statusAt {
-		c.Status += string(x)
+	if c.Head == statusAt {
+		c.Early = x == '1'
 	}
+	c.Head++
 	switch {
 	case x == headEnd[c.Matched]:
 		c.Matched++
@@ -92,10 +94,10 @@
 		c.Matched = 0
 	}
 	if c.Matched == len(headEnd) {
-		if c.Status[statusAt:] != "1" {
+		if !c.Early {
 			c.Phase = inSize
 		}
-		c.Matched, c.Status = 0, ""
+		c.Matched, c.Head, c.Early = 0, 0, false
 	}
 }
 
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -67,34 +67,29 @@
 	headEnd  int           // of the request's head, bytes of headEnd seen in a row
 	chunks   chunks        // where the answer stands
 	lost     bool          // that is not known
-	frozen   bool          // nothing more is read here
+	frozen   atomic.Bool   // nothing more is read here
 	owed     int           // bytes of the request that are not written; its head counts as one until its end
 }
 
 // Read hands on the answer and nothing behind it.
 func (l *link) Read(b []byte) (int, error) {
-	l.mu.Lock()
-	frozen := l.frozen
-	l.mu.Unlock()
-	if frozen {
+	if l.frozen.Load() {
 		return 0, errFrozen
 	}
-	n, err := l.read(b)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.chunks.feed(b[:n], func([]byte) {}) != nil {
-		l.lost = true
-	}
-	return n, err
-}
-
-func (l *link) read(b []byte) (int, error) {
 	n, err := l.Conn.Read(b)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.frozen && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if l.frozen.Load() && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, errFrozen
 	}
+	own, err := l.answer(b[:n], err)
+	l.lost = l.lost || l.chunks.feed(b[:own], func([]byte) {}) != nil
+	return own, err
+}
+
+// answer is how many of the bytes that came are the answer's, and what the reader is told.
+func (l *link) answer(b []byte, err error) (int, error) {
+	n := len(b)
 	l.broken = l.broken || err != nil
 	if l.spent || n > 0 && l.ended {
 		l.spent = true
@@ -126,10 +121,10 @@
 func (l *link) freeze() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.frozen || l.ended || l.spent || l.broken {
+	if l.frozen.Load() || l.ended || l.spent || l.broken {
 		return false
 	}
-	l.frozen = true
+	l.frozen.Store(true)
 	return l.Conn.SetReadDeadline(time.Now()) == nil
 }
 
--- a/internal/realserver/moving.go
+++ b/internal/realserver/moving.go
@@ -64,10 +64,14 @@
 	to  func(s Stream, client, server int) error // nil: they stay
 }
 
+// add takes in a stream that has begun. One that begins after the others were asked to move does so too.
 func (v *live) add(l *link) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.all[l] = true
+	if v.to != nil {
+		l.freeze()
+	}
 }
 
 func (v *live) remove(l *link) {
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -232,6 +232,13 @@
 	return l.Sent[line]
 }
 
+// Begun tells that the line has had an attempt.
+func (l *Ledger) Begun(line string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Sent[line] > 0
+}
+
 // End notes an attempt's end.
 func (l *Ledger) End(line string, answered bool) {
 	l.mu.Lock()
