--- a/internal/daemon/console_test.go
+++ b/internal/daemon/console_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"standpoint/internal/testpeer"
 )
@@ -59,7 +60,8 @@
 	require.ErrorContains(t, Run(Options{File: path, Log: zap.NewNop()}), "console: ")
 	require.NoError(t, taken.Close())
 	exit := make(chan error, 1)
-	go func() { exit <- Run(Options{File: path, Log: zap.NewNop()}) }()
+	seen, logs := observer.New(zap.InfoLevel)
+	go func() { exit <- Run(Options{File: path, Log: zap.New(seen)}) }()
 	health := func() int {
 		response, err := http.Get("http://" + listen + "/_health")
 		require.NoError(t, err)
@@ -105,6 +107,8 @@
 		_, text := ops(t, console, "GET", "/ops/stats")
 		return strings.Contains(text, "app.inflight=2\n") && strings.Contains(text, "app.hosts_down=1\n")
 	}, 2*time.Second, 5*time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) // the list is told anew, the server as ready
+	require.Eventually(t, func() bool { return logs.FilterMessage("the configuration was read again").Len() == 1 }, 5*time.Second, time.Millisecond)
 	require.EqualValues(t, 1, sent.Load(), "what it has runs on, and nothing new comes")
 	require.Equal(t, 200, says("POST", "/ops/engines/up?id=box-1"))
 	require.Contains(t, <-waits, "[DONE]")
