--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -200,7 +200,7 @@
 		r := results[fmt.Sprintf("sheet-%d", i)]
 		require.NotNil(t, r.Response, name)
 		require.Contains(t, string(r.Response.Body), "answer to "+name)
-		require.Equal(t, 1, ledger.Answers[name], name)
+		require.Equal(t, 1, ledger.Answers()[name], name)
 	}
 	ran1, unrun := b1.Lines()
 	ran2, _ := b2.Lines()
@@ -208,7 +208,7 @@
 		n-ran1-ran2)
 	require.Positive(t, unrun, "the drain found lines that had not run")
 	require.Positive(t, min(ran1, ran2), "both servers that take files had work")
-	require.Equal(t, 1, ledger.Most, "no line ever has two attempts out")
+	require.Equal(t, 1, ledger.Most(), "no line ever has two attempts out")
 }
 
 // A file with faults is not run; each fault names its line.
@@ -300,7 +300,7 @@
 	b = second.wait(b.ID, 10*time.Second)
 	require.False(t, time.Now().Before(until))
 	require.Equal(t, batch.Counts{Total: 4, Completed: 3, Failed: 1}, b.RequestCounts)
-	require.Equal(t, map[string]int{"line 0": 1, "line 3": 1}, ledger.Sent)
+	require.Equal(t, map[string]int{"line 0": 1, "line 3": 1}, ledger.Sent())
 }
 
 // elected is a store whose member leads by turns.
@@ -349,8 +349,8 @@
 	b = o.wait(b.ID, 10*time.Second)
 	require.Greater(t, time.Since(sent), 2*time.Second)
 	require.Equal(t, batch.Counts{Total: 1, Completed: 1}, b.RequestCounts)
-	require.Equal(t, 2, ledger.Sent["line 0"])
-	require.Equal(t, 1, ledger.Most)
+	require.Equal(t, 2, ledger.Sent()["line 0"])
+	require.Equal(t, 1, ledger.Most())
 }
 
 // broken is a store that takes one write, the at-th, badly: it does nothing and says so, or does it and says that it did
@@ -388,7 +388,7 @@
 				require.Equal(t, batch.Counts{Total: 2, Completed: 2}, b.RequestCounts)
 				_, written := o.results(b.OutputFileID)
 				require.Equal(t, 2, written)
-				require.Equal(t, 1, ledger.Most)
+				require.Equal(t, 1, ledger.Most())
 				require.LessOrEqual(t, ledger.Total(), 3, "one line at the most was sent again")
 			})
 		}
@@ -472,6 +472,6 @@
 	o := open(t, testpeer.Start(t, settings, entry), store.NewMemory(), func(o *batch.Options) { o.LineTime = time.Second })
 	b := o.wait(o.submit(lines(1), "1h").ID, 20*time.Second)
 	require.Equal(t, batch.Counts{Total: 1, Completed: 1}, b.RequestCounts)
-	require.Equal(t, 2, ledger.Sent["line 0"])
-	require.Equal(t, 1, ledger.Most)
+	require.Equal(t, 2, ledger.Sent()["line 0"])
+	require.Equal(t, 1, ledger.Most())
 }
--- a/internal/cli/kill_test.go
+++ b/internal/cli/kill_test.go
@@ -199,7 +199,7 @@
 		require.Greater(t, at[1].Sub(at[0]), lineTime*9/10, "the store had it out until then")
 	}
 	require.Len(t, sent["waits"], 1, "a killed node owes nothing that it held; its client asks again")
-	require.Equal(t, 1, ledger.Most)
+	require.Equal(t, 1, ledger.Most())
 }
 
 // A node is killed again and again in the middle of uploads. What it had acknowledged is there and whole; of the others
--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -233,7 +233,7 @@
 		body, err := io.ReadAll(response.Body)
 		late <- fmt.Sprint(string(body), err)
 	}()
-	require.Eventually(t, func() bool { return ledger.Begun("late") }, 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return ledger.Sent()["late"] > 0 }, 2*time.Second, time.Millisecond)
 	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
 	require.Eventually(t, func() bool { return first.logged("streams move to the other process") != "" }, 4*time.Second, time.Millisecond)
 	close(begin)
@@ -246,9 +246,9 @@
 	require.Contains(t, string(rest), "long")
 	require.Contains(t, string(rest), `data: {"choices":[{"index":0,"delta":{"content":"the rest"}}]}`+"\n\n")
 	require.Contains(t, string(rest), "[DONE]")
-	require.Equal(t, 1, ledger.Sent["long"])
+	require.Equal(t, 1, ledger.Sent()["long"])
 	require.Contains(t, <-late, "[DONE]")
-	require.Equal(t, 1, ledger.Sent["late"])
+	require.Equal(t, 1, ledger.Sent()["late"])
 
 	for _, bad := range []string{"77", "three", "1"} {
 		failing := p.start("PROXY_SOCKET_FD=" + bad)
@@ -283,9 +283,9 @@
 		t.Errorf("%v: %v", id, what)
 		return true
 	})
-	require.Equal(t, 1, ledger.Most)
+	require.Equal(t, 1, ledger.Most())
 	asked.Range(func(id, _ any) bool {
-		require.Equal(t, 1, ledger.Sent[id.(string)], "%v", id)
+		require.Equal(t, 1, ledger.Sent()[id.(string)], "%v", id)
 		return true
 	})
 }
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"mime/multipart"
 	"net"
 	"net/http"
@@ -210,16 +211,16 @@
 
 // Ledger counts, at the servers, the attempts of each line that are out and the answers that it got.
 type Ledger struct {
-	mu      sync.Mutex
+	mu      sync.Mutex // servers write while tests read
 	out     map[string]int
-	Most    int            // attempts of one line that were out at once
-	Sent    map[string]int // attempts of each line
-	Answers map[string]int
+	most    int
+	sent    map[string]int
+	answers map[string]int
 }
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{out: map[string]int{}, Sent: map[string]int{}, Answers: map[string]int{}}
+	return &Ledger{out: map[string]int{}, sent: map[string]int{}, answers: map[string]int{}}
 }
 
 // Begin notes an attempt and returns how many the line has had.
@@ -227,16 +228,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.out[line]++
-	l.Sent[line]++
-	l.Most = max(l.Most, l.out[line])
-	return l.Sent[line]
+	l.sent[line]++
+	l.most = max(l.most, l.out[line])
+	return l.sent[line]
 }
 
-// Begun tells that the line has had an attempt.
-func (l *Ledger) Begun(line string) bool {
+// Sent are the attempts that each line has had.
+func (l *Ledger) Sent() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Sent[line] > 0
+	return maps.Clone(l.sent)
+}
+
+// Answers are the answers that each line got.
+func (l *Ledger) Answers() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.answers)
+}
+
+// Most is how many attempts of one line were out at once.
+func (l *Ledger) Most() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most
 }
 
 // End notes an attempt's end.
@@ -245,7 +260,7 @@
 	defer l.mu.Unlock()
 	l.out[line]--
 	if answered {
-		l.Answers[line]++
+		l.answers[line]++
 	}
 }
 
@@ -254,7 +269,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
-	for _, k := range l.Answers {
+	for _, k := range l.answers {
 		n += k
 	}
 	return n
