--- a/router_test.go
+++ b/router_test.go
@@ -606,6 +606,32 @@
 	}
 }
 
+// A gateway with much traffic weighs cold engines as it does others: forced on them, its whole budget would be all that
+// they can bear.
+func TestColdBudgetIsNotForcedByBusyGateways(t *testing.T) {
+	forced := 0
+	for seed := range int64(20) {
+		r := New(base(), seed)
+		names := []string{"a", "b", "c", "d", "e", "f", "g"}
+		feed(r, 100*second, ready(names...))
+		now := 100 * second
+		for i := int64(1); i <= 40; i++ {
+			now += 100 * ms
+			feed(r, now, ask(i, now+4*second), &Outcome{Request: i, Code: Served, Elapsed: 10 * ms, Last: true})
+		}
+		list := ready(append(names, "cold")...)
+		list.Engines[7].ReadyAt = now
+		feed(r, now, list)
+		r.engines["cold"].coldTokens = 1
+		if got := feed(r, now, ask(1000, now+4*second)); got[0].Engine == "cold" {
+			forced++
+		}
+	}
+	if forced > 15 {
+		t.Fatalf("%d of 20 requests went to a cold engine; of eight it is one", forced)
+	}
+}
+
 func TestColdBudgetInJointFailure(t *testing.T) {
 	r := New(base(), 1)
 	feed(r, 0, ready("a", "b", "c", "d", "e", "f"))
--- a/state.go
+++ b/state.go
@@ -255,6 +255,13 @@
 	}
 }
 
+// toward goes a part of the way to another report.
+func (a *Report) toward(b *Report, part float64) {
+	a.Memory += part * (b.Memory - a.Memory)
+	a.Unread += part * (b.Unread - a.Unread)
+	a.Slots += part * (b.Slots - a.Slots)
+}
+
 // aim is the time wanted to the first token, in seconds from arrival; 0: none.
 func (r *Router) aim(q *request) float64 {
 	c := r.class(q)
