--- a/router.go
+++ b/router.go
@@ -23,7 +23,7 @@
 	wholeFleet   = 64        // a fleet up to this size is gone over whole for each request
 	sampleKey    = 32        // engines of a larger one, by the request's key
 	samplePrefix = 8         // and by the key of its shared beginning
-	thinWait     = 0.1       // share of the warm-up in which a gateway that is not thin weighs each engine once
+	thinWait     = 0.1       // share of the warm-up in which a gateway that is not thin weighs each engine
 	densities    = 64        // requests that a new one's worth for its work is ranked among
 	tenantSpan   = 3.0       // seconds over which a tenant's requests are counted
 	overQuota    = 1.5       // times its quota from which a tenant is taken to be over it
@@ -42,7 +42,6 @@
 	bucketDepth  = 10        // samples kept in one bucket
 	refitEvery   = 12        // new samples between two fits
 	reportHalf   = 1.0       // seconds after which a report counts half against the fleet's mean
-	fleetPart    = 0.05      // of a report in the fleet's mean
 	unreadHalf   = 0.4       // seconds in which half of the unread tokens are taken to be read
 	overdueTimes = 4.0       // a first token later than so many predictions is a sign of trouble
 	overdueLeast = 800 * ms  // and never sooner than this
@@ -839,7 +838,7 @@
 func (r *Router) takeReport(e *engine, rep *Report) {
 	e.report = Report{clamp(rep.Memory, 2), clamp(rep.Unread, 1000), clamp(rep.Slots, 2)}
 	e.reportAt, e.sentTokens = r.now, 0
-	r.fleet.toward(&e.report, fleetPart)
+	r.fleet.toward(&e.report, 0.05)
 }
 
 // load is the engine's state as far as known: its report, faded by age towards the fleet's mean, and what
