Module: the gateways use half of the allowance for cold engines

Ruled out: bans and calls (in time), the door (0 turned back), waits as a bound of the ranking (tried, no gain). At fault: coldMargin 0.4, measured against the own mean rate, which is a third below what engines can do.

--- a/router.go
+++ b/router.go
@@ -50,7 +50,7 @@
 	sourTenant   = 0.05      // of an error in a tenant's share, over all engines
 	sourMost     = 0.5       // share from which it is left out but for trials
 	suspectMost  = 0.5       // more suspects than this share of the fleet: a shared cause, none is
-	coldMargin   = 0.4       // of rule 4's allowance that the gateways together use
+	coldMargin   = 0.5       // of rule 4's allowance that the gateways together use
 	retryShare   = 0.15      // further attempts per request, on average
 	retryBurst   = 2.0       // and how many may come at once
 	hedgeCut     = 0.1       // refused part from which no second copies are sent
