--- a/router.go
+++ b/router.go
@@ -36,6 +36,7 @@
 	comeLeast    = 0.3       // seconds after which a refused client may come again at the earliest
 	cutSpeed     = 0.7       // log slowness from which an engine's misses are its own
 	reserve      = 0.5       // share of an aim that must be left for headroom to count
+	reserveFew   = 8.0       // engines weighed; of more, the least headroom is a worse guess
 	homeTokens   = 300.0     // prompt tokens expected kept at the assumed home, to go there
 	tickEvery    = 50 * ms   // pace of the health, probe and queue rounds
 	tableSize    = 1 << 15   // match table entries of one generation
@@ -519,8 +520,7 @@
 	// taken to be able to do all the work (guards against cold engines pushed over in a joint failure).
 	perEngine := r.rate / max(1, r.usual)
 	e.coldTokens += perEngine * share * r.set.FallFactor * coldMargin * seconds(r.now-e.coldAt)
-	e.coldTokens = min(e.coldTokens, 1.5)
-	e.coldAt = r.now
+	e.coldTokens, e.coldAt = min(e.coldTokens, 1.5), r.now
 	return e.coldTokens >= 1
 }
 
@@ -633,7 +633,7 @@
 				o.head += (1 - ttftWeight) * pace
 				room = min(room, pace)
 			}
-			o.ok = room > reserve
+			o.ok = room > 1-(1-reserve)*math.Sqrt(min(1, reserveFew/float64(len(all))))
 		} else {
 			o.head = -ttftWeight*o.wide - (1-ttftWeight)*o.slow*q.MaxTokens
 		}
--- a/router_test.go
+++ b/router_test.go
@@ -695,6 +695,28 @@
 	}
 }
 
+// Of many engines the one with the least headroom is the one whose prediction is most wrong: more of the aim must be left.
+func TestMoreRoomIsLeftWhereManyAreWeighed(t *testing.T) {
+	for n, want := range map[int]bool{8: true, 40: false} {
+		s := base()
+		s.Balancers, s.Classes[0].TPOTAim = 1, 0
+		r := New(s, 1)
+		var names []string
+		for i := range n {
+			names = append(names, name(i))
+		}
+		feed(r, 0, ready(names...))
+		q := &request{Request: *ask(1, second)}
+		idle := r.options(q, false)[0].wide
+		for _, e := range r.ready {
+			e.speed = math.Log(0.4 / idle) // of an aim of 1 s
+		}
+		if o := r.options(q, false)[0]; math.Abs(o.wide-0.4) > 0.01 || o.ok != want {
+			t.Errorf("%d engines: 0.6 of the aim left (predicted %.2f s) counts as headroom: %v", n, o.wide, o.ok)
+		}
+	}
+}
+
 // An engine that was last heard of long ago and not told anew gets nothing while another can be used, and is tried
 // before nothing is.
 func TestStaleEnginesAreTriedLast(t *testing.T) {
