--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -133,6 +134,44 @@
 	require.Equal(t, open.Asked, open.Served)
 }
 
+// stepped is what the system would tell at a moment if its wall clock had been set by so many seconds before: of a time's
+// two readings only the wall's differs.
+func stepped(at time.Time, seconds int64) time.Time {
+	was := at
+	*(*uint64)(unsafe.Pointer(&at)) += uint64(seconds << 30) // the wall's seconds begin at its 30th bit
+	if at.Sub(was) != 0 || at.Unix()-was.Unix() != seconds {
+		panic("a time is laid out in another way than this test knows")
+	}
+	return at
+}
+
+// Steps of the wall clock, an hour forth and two back, change neither when requests go out nor how long they took.
+func TestStepsOfTheWallClock(t *testing.T) {
+	t.Parallel()
+	p := &peer{}
+	pl := plan(t, p.start(t), "steady(100)", 1500*time.Millisecond)
+	began := time.Now()
+	r, err := Run(t.Context(), Options{Plan: pl, clock: func() time.Time {
+		now := time.Now()
+		switch gone := now.Sub(began); {
+		case gone > time.Second:
+			return stepped(now, -3600)
+		case gone > 500*time.Millisecond:
+			return stepped(now, 3600)
+		}
+		return now
+	}})
+	require.NoError(t, err)
+	all := r.All()
+	require.InDelta(t, 150, all.Asked, 75)
+	require.Equal(t, all.Asked, all.Served)
+	require.Less(t, all.First.Max(), int64(2_000_000))
+	require.InDelta(t, 1.5, r.For, 0.2)
+	for _, second := range r.Seconds {
+		require.LessOrEqual(t, second.Asked, 150)
+	}
+}
+
 // A generator that cannot keep up says so.
 func TestLagIsMarked(t *testing.T) {
 	p := &peer{}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -31,6 +31,7 @@
 	// Closed, if above 0, is a closed loop of so many clients in place of the pattern: each asks when it has its answer.
 	// It is what this generator is not, kept to show the difference.
 	Closed int
+	clock  func() time.Time // nil: the system's; only its monotonic part counts
 }
 
 // Progress is a run's state, told each second.
@@ -73,7 +74,10 @@
 	if !(o.Scale > 0 && o.Scale <= 1000) {
 		return nil, fmt.Errorf("the time's scale, %g, is not above 0 and up to 1000", o.Scale)
 	}
-	r := &runner{Options: o, base: time.Now(), out: make(chan struct{}, p.MostOut), front: "http://" + p.Target,
+	if o.clock == nil {
+		o.clock = time.Now
+	}
+	r := &runner{Options: o, base: o.clock(), out: make(chan struct{}, p.MostOut), front: "http://" + p.Target,
 		run: strconv.FormatUint(rand.Uint64(), 36), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: p.MostOut, IdleConnTimeout: 4 * time.Second,
 			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, DisableCompression: true}}}
 	r.tally.classes = map[string]*Figures{}
@@ -110,10 +114,13 @@
 	return r.report(ctx.Err() != nil, span), nil
 }
 
+// since is the time that has gone by, whatever was done to the wall clock meanwhile.
+func (r *runner) since(then time.Time) time.Duration { return r.clock().Sub(then) }
+
 func (r *runner) report(cut bool, span time.Duration) *Report {
 	r.tally.mu.Lock()
 	defer r.tally.mu.Unlock()
-	report := &Report{Target: r.Plan.Target, Pattern: r.Plan.Pattern, Seed: r.Plan.Seed, Began: r.base, For: min(span, time.Since(r.base)).Seconds(),
+	report := &Report{Target: r.Plan.Target, Pattern: r.Plan.Pattern, Seed: r.Plan.Seed, Began: r.base, For: min(span, r.since(r.base)).Seconds(),
 		Cut: cut, Trace: r.Faults, Classes: r.tally.classes, Seconds: r.tally.seconds}
 	all := report.All()
 	if lag := time.Duration(all.Lag.ValueAtQuantile(99)) * time.Microsecond; lag > time.Duration(r.Plan.Lag) {
@@ -138,7 +145,7 @@
 			return
 		case <-tick.C:
 		}
-		at := time.Since(r.base)
+		at := r.since(r.base)
 		p := Progress{At: at, For: span, Out: len(r.out), All: newFigures()}
 		if r.Plan.Compiled != nil && r.Calls == nil {
 			p.Rate = r.Plan.Compiled.Rate(at.Seconds())
@@ -159,7 +166,7 @@
 
 // until waits for a moment of the run; the monotonic clock counts, whatever the wall clock does.
 func (r *runner) until(ctx context.Context, at time.Duration) bool {
-	if wait := at - time.Since(r.base) - timerSlack; wait > 0 {
+	if wait := at - r.since(r.base) - timerSlack; wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -168,7 +175,7 @@
 		case <-timer.C:
 		}
 	}
-	for time.Since(r.base) < at && ctx.Err() == nil { // timers come up to a millisecond late on an idle machine
+	for r.since(r.base) < at && ctx.Err() == nil { // timers come up to a millisecond late on an idle machine
 		runtime.Gosched()
 	}
 	return ctx.Err() == nil
@@ -254,7 +261,7 @@
 		}
 		talk = append(talk, message{"assistant", answer})
 		length += float64(len(answer)) / tokenText
-		meant = time.Since(r.base) + time.Duration(float64(c.Think)*rng.ExpFloat64())
+		meant = r.since(r.base) + time.Duration(float64(c.Think)*rng.ExpFloat64())
 		if !r.until(ctx, meant) {
 			return
 		}
@@ -298,7 +305,7 @@
 			rng := rand.New(rand.NewPCG(r.Plan.Seed, uint64(k)))
 			c := &r.Plan.Classes[0]
 			for ctx.Err() == nil {
-				now := time.Since(r.base)
+				now := r.since(r.base)
 				r.ask(ctx, Call{At: now.Seconds(), Class: c.Name, Prompt: c.Prompt, Out: c.Out}, c, []message{{"user", words(rng, c.Prompt)}}, now, rng)
 			}
 		})
@@ -330,7 +337,7 @@
 			r.tally.do(c.Name, meant, func(f *Figures, s *Second) { f.NotSent++; s.Failed++ })
 			return "", false
 		}
-		sent := time.Since(r.base)
+		sent := r.since(r.base)
 		a := r.once(ctx, call, c, body, try)
 		<-r.out
 		if a.err == nil && a.status == http.StatusOK && a.tokens > 0 {
@@ -359,7 +366,7 @@
 			return "", false
 		}
 		r.tally.do(c.Name, meant, func(f *Figures, _ *Second) { f.Retries++ })
-		asked = time.Since(r.base) + wait
+		asked = r.since(r.base) + wait
 		if !r.until(ctx, asked) {
 			r.tally.do(c.Name, meant, func(f *Figures, s *Second) { f.Asked--; s.Asked-- })
 			return "", false
@@ -447,7 +454,7 @@
 	if try > 0 {
 		head.Set("X-Second-Try", "1")
 	}
-	began := time.Now()
+	began := r.clock()
 	response, err := r.client.Do(q)
 	if err != nil {
 		return answer{err: err}
@@ -470,10 +477,10 @@
 			continue
 		}
 		if a.first == 0 {
-			a.first = time.Since(began)
+			a.first = r.since(began)
 		}
 		if data == "[DONE]" {
-			a.whole, a.text = time.Since(began), b.String()
+			a.whole, a.text = r.since(began), b.String()
 			a.tokens = max(1, a.tokens)
 			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4096)) // so that the connection can be used again
 			return a
@@ -518,7 +525,7 @@
 				return
 			}
 			_ = err // what was not answered is counted as failed
-			r.tally.do(c.Name, time.Since(r.base), func(f *Figures, _ *Second) {
+			r.tally.do(c.Name, r.since(r.base), func(f *Figures, _ *Second) {
 				f.BatchLines += r.Plan.Batch.Lines
 				f.BatchServed += served
 				f.BatchFailed += r.Plan.Batch.Lines - served
