--- a/internal/edge/operating_test.go
+++ b/internal/edge/operating_test.go
@@ -116,6 +116,16 @@
 	return response
 }
 
+// answerOn reads a whole answer.
+func answerOn(t *testing.T, c net.Conn, in *bufio.Reader) (status int) {
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+	response, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	return response.StatusCode
+}
+
 // Staff send clients away and call them back: health says no at once, a stream under way runs to its end, a kept
 // connection brings one more request and ends with its answer, those that rest or say nothing end, and who comes much
 // later is told when to come back. Then all is as before.
@@ -203,14 +213,7 @@
 			require.NoError(t, err)
 		}
 	}
-	answered := func() int {
-		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
-		response, err := http.ReadResponse(in, nil)
-		require.NoError(t, err)
-		_, err = io.Copy(io.Discard, response.Body)
-		require.NoError(t, err)
-		return response.StatusCode
-	}
+	answered := func() int { return answerOn(t, c, in) }
 	for i, piece := range []int{1, 7, 1000} {
 		write(head(fmt.Sprint("chunks-", i), "Transfer-Encoding: chunked\r\n")+chunks, piece)
 		require.Equal(t, http.StatusOK, answered())
@@ -261,14 +264,7 @@
 			_, err := io.WriteString(c, text)
 			require.NoError(t, err)
 		}
-		answered := func() int {
-			require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
-			response, err := http.ReadResponse(in, nil)
-			require.NoError(t, err)
-			_, err = io.Copy(io.Discard, response.Body)
-			require.NoError(t, err)
-			return response.StatusCode
-		}
+		answered := func() int { return answerOn(t, c, in) }
 		next := request(fmt.Sprint("next-", i), chunks)
 		if first == "GET" {
 			write("GET /_health HTTP/1.1\r\nHost: n\r\n\r\n")
