Module: a request that could not connect in one zone goes to another

A trace of every decision shows all three attempts in the node's own zone, which is the one that is lost: it is ranked first (options, the sort by near), and an attempt that failed only rules out its own server. Ruled out: refusals by load (cut is 0), the list (it tells of the loss 12 s later, if at all), retry budget (failed connects do not need it). So a further attempt prefers the zones in which the request has not failed to connect.

--- a/router.go
+++ b/router.go
@@ -362,7 +362,7 @@
 	if ev.Report != nil && r.set.Reports == ReportReplies {
 		r.takeReport(a.e, ev.Report)
 	}
-	a.out, a.ran, a.e.out = false, !ev.Code.NeverRan(), a.e.out-1
+	a.out, a.code, a.ran, a.e.out = false, ev.Code, !ev.Code.NeverRan(), a.e.out-1
 	a.e.tokens = max(0, a.e.tokens-q.PromptTokens)
 	if q.begun == a {
 		r.streams--
@@ -427,8 +427,7 @@
 	if kind != Shed || !r.set.RetryAfter {
 		return 0
 	}
-	wait := int64(max(comeLeast, r.cut/cutFade) * 1e9)
-	return min(r.set.MaxRetryAfter, wait)
+	return min(r.set.MaxRetryAfter, int64(max(comeLeast, r.cut/cutFade)*1e9))
 }
 
 // finish marks the request as over; it is forgotten once its last attempt has ended.
@@ -587,8 +586,9 @@
 	if len(some) == 0 {
 		some = r.usable(q, r.ready, ignore)
 	}
-	if len(q.attempts) > 0 { // not again where it failed, while there is another
+	if len(q.attempts) > 0 { // not again where it failed, nor in a zone that it could not reach, while there is another
 		some = prefer(some, func(e *engine) bool { return !q.tried(e) })
+		some = prefer(some, func(e *engine) bool { return !q.cutOff(e.Zone) })
 	}
 	some = prefer(some, func(e *engine) bool { return !e.Stale })
 	some = prefer(some, func(e *engine) bool { return e.due })
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 	match   float64
 	home    bool // chosen as the session's assumed home
 	out     bool // no outcome yet
+	code    Code // how it ended
 	ran     bool // may have run
 	first   int64
 	calling bool // cancel asked for
@@ -157,6 +158,16 @@
 	return false
 }
 
+// cutOff tells that an attempt of the request could not connect to a server of that zone.
+func (q *request) cutOff(zone int) bool {
+	for _, a := range q.attempts {
+		if !a.out && a.code == NoConnection && a.e.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // key is what the request's rank among the engines hangs on.
 func (q *request) key() uint64 {
 	if q.Session != 0 {
