--- a/router.go
+++ b/router.go
@@ -586,7 +586,7 @@
 	if len(some) == 0 {
 		some = r.usable(q, r.ready, ignore)
 	}
-	if len(q.attempts) > 0 { // not again where it failed, nor in a zone that it could not reach, while there is another
+	if len(q.attempts) > 0 { // not where it failed, nor in a zone that it could not reach, if others do
 		some = prefer(some, func(e *engine) bool { return !q.tried(e) })
 		some = prefer(some, func(e *engine) bool { return !q.cutOff(e.Zone) })
 	}
