Module: what a cold server may be sent goes by its size

At fault: coldRoom gives each starting server the mean rate of all, whatever its registered size; thin nodes use that budget at once. The fall rule goes by what others of its size carry, so the budget does now too.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -33,3 +33,78 @@
 		}
 	}
 }
+
+// fleet is many gateways that play together in virtual time, each with a little of the traffic. Every attempt is answered
+// as answer says.
+type fleet struct {
+	nodes []*Router
+	now   int64
+	next  int64
+	sent  map[string]int
+}
+
+func newFleet(s Settings, list *EngineList) *fleet {
+	f := &fleet{now: 100 * second, sent: map[string]int{}}
+	for i := range s.Balancers {
+		s.Ordinal, s.Zone = i, i%max(1, s.Zones)
+		f.nodes = append(f.nodes, New(s, int64(i)))
+	}
+	f.tell(list)
+	return f
+}
+
+func (f *fleet) tell(list *EngineList) {
+	for _, r := range f.nodes {
+		feed(r, f.now, list)
+	}
+}
+
+// play has requests come evenly to the gateways in turn, so many in all each second, and counts what is sent where.
+func (f *fleet) play(span int64, each float64, answer func(engine string) Outcome) {
+	for end := f.now + span; f.now < end; f.now += int64(float64(second) / each) {
+		f.next++
+		r := f.nodes[int(f.next)%len(f.nodes)]
+		tick(r, f.now)
+		q := ask(f.next, f.now+4*second)
+		q.Session = mix(uint64(f.next), 7)
+		for got := feed(r, f.now, q); len(got) > 0; {
+			a := got[0]
+			if got = nil; a.Kind == Send {
+				f.sent[a.Engine]++
+				o := answer(a.Engine)
+				o.Request, o.Attempt = a.Request, len(r.open[a.Request].attempts)-1
+				o.Last = o.Code == Served
+				got = feed(r, f.now, &o)
+			}
+		}
+	}
+}
+
+func served(string) Outcome { return Outcome{Code: Served, Elapsed: 10 * ms} }
+
+// Seen on join+vast: servers of size 3 and of size 10 that had just started got 2.1 to 2.6 requests a second alike; the small
+// ones took 5 to 13 s for an answer, and the large ones had four of five places free.
+func TestAColdServersBudgetGoesByItsSize(t *testing.T) {
+	s := base()
+	s.Balancers = 80
+	list := &EngineList{Kind: ListFull}
+	for i := range 38 {
+		list.Engines = append(list.Engines, Engine{Name: name(i), Size: 6})
+	}
+	f := newFleet(s, list)
+	f.play(10*second, 88, served)
+	for i, size := range []float64{3, 9} {
+		list.Engines = append(list.Engines, Engine{Name: name(38 + i), Size: size, ReadyAt: f.now})
+	}
+	f.tell(list)
+	f.play(8*second, 88, served)
+	small, large := float64(f.sent[name(38)]), float64(f.sent[name(39)])
+	if !(small > 0 && large > 2*small && large < 4.5*small) {
+		t.Fatalf("%g requests to the small one, %g to one of three times its size", small, large)
+	}
+	// 88 requests to 40 servers, times the allowance of 3, times a capacity that rises from 0.4 to 1: what all may send to
+	// one of the mean size.
+	if most := 88.0 / 40 * 3 * 8 * 0.7; large > most*9/6 {
+		t.Fatalf("%g requests to the large one, whose edge is %g", large, most*9/6)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -517,7 +517,7 @@
 	share := r.set.ColdShare + (1-r.set.ColdShare)*warm
 	// The divisor is the fleet's usual size: when most engines are down, what is left of them must not be
 	// taken to be able to do all the work (guards against cold engines pushed over in a joint failure).
-	perEngine := r.rate / max(1, r.usual)
+	perEngine := r.rate / max(1, r.usual) * r.part(e)
 	e.coldTokens += perEngine * share * r.set.FallFactor * coldMargin * seconds(r.now-e.coldAt)
 	e.coldTokens, e.coldAt = min(e.coldTokens, 1.5), r.now
 	return e.coldTokens >= 1
--- a/state.go
+++ b/state.go
@@ -70,6 +70,7 @@
 	ready      []*engine // listed ready, by name
 	rings      map[place][]*engine
 	ownPart    float64 // of the ready engines' size, in the own zone
+	meanSize   float64 // of the ready engines
 	seen       uint64  // number of the latest sample
 	looked     []*engine
 	some       []candidate // kept for their room, as all is
@@ -248,6 +249,14 @@
 	return q.Class
 }
 
+// part is an engine's registered size, in that of the ready ones' mean.
+func (r *Router) part(e *engine) float64 {
+	if !(e.Size > 0) || !(r.meanSize > 0) {
+		return 1
+	}
+	return e.Size / r.meanSize
+}
+
 func (r *Router) near(e *engine) bool { return e.Zone == r.set.Zone }
 
 func (r *Router) kind(e *engine) int { return min(max(0, e.Kind), len(r.ttft)-1) }
@@ -354,7 +363,7 @@
 			own += e.Size
 		}
 	}
-	r.ownPart = 0
+	r.ownPart, r.meanSize = 0, all/max(1, float64(len(r.ready)))
 	if all > 0 {
 		r.ownPart = own / all
 	}
