Module: a lost zone is found out once, and comes back cold

At fault: suspect and alive knew servers, not zones, and belief followed what the list tells. Now three servers of a zone that cannot be reached, with no sign of life from it in between, show that it is lost; one trial stands for all; and what answers after that is cold from then on, until the list has told a start or would have (askWithin).

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -108,3 +108,49 @@
 		t.Fatalf("%g requests to the large one, whose edge is %g", large, most*9/6)
 	}
 }
+
+// Seen on zone+vast: a lost zone answers again 3 s before the list tells of its new starts. All nodes went back to it at once,
+// up to 90 requests a second to servers at an eighth of their capacity; before, each of 80 nodes had tried each lost server.
+func TestALostZoneIsTriedOnceAndComesBackCold(t *testing.T) {
+	s := base()
+	s.Balancers, s.Zones, s.CrossZonePrice, s.SecondCopies, s.MaxAttempts, s.ColdShare, s.FallFactor = 80, 2, 0.03, false, 3, 0.13, 4
+	s.WarmUp = 24 * second
+	f := newFleet(s, twoZones(40))
+	zone := map[string]int{}
+	for _, e := range f.nodes[0].ready {
+		zone[e.Name] = e.Zone
+	}
+	f.play(10*second, 88, served)
+	count := func() (one int) {
+		for name, n := range f.sent {
+			one += n * zone[name]
+		}
+		return one
+	}
+	lost := func(engine string) Outcome {
+		if zone[engine] == 1 {
+			return Outcome{Code: NoConnection, Elapsed: 100 * ms}
+		}
+		return served(engine)
+	}
+	f.play(4*second, 88, lost) // in which every node of that zone has found out
+	before := count()
+	f.play(4*second, 88, lost)
+	// Alone, each of 40 nodes would try 20 servers every 1.5 s, as often as it has requests: 176 in 4 s.
+	if tries := count() - before; tries > 40*4*2/3+20 {
+		t.Fatalf("%d attempts in 4 s to servers of a lost zone, by 40 nodes that each may try it every 1.5 s", tries)
+	}
+	before = count()
+	f.play(3*second, 88, served) // it answers again, and the list does not tell
+	// 20 servers, 2.2 requests a second each, times half of the allowance of 4, times a capacity from 0.13 to 0.24; and one
+	// trial of each node of that zone.
+	if back := count() - before; back < 20 || float64(back) > 20*2.2*2*0.19*3+40 {
+		t.Fatalf("%d requests in 3 s to a zone that has just come back", back)
+	}
+	f.now += s.AskWithin
+	before = count()
+	f.play(4*second, 88, served) // no start was told in all that time: there was none
+	if warm := count() - before; warm < 140 {
+		t.Fatalf("%d of 352 requests to a zone that only was cut off", warm)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -64,6 +64,8 @@
 	dragTrust    = 3.0  // gaps told of an engine that count half against what all show
 	toldLeast    = 5.0  // tokens of an answer that shows a gap
 	streamLeast  = 20.0 // streams that must have ended before their usual length is trusted
+	lostZone     = 3    // engines in a row that cannot be reached: by chance, with one in eight bad, 1 in 512
+	backLeast    = 1.0  // seconds; unreachable for less an engine has only paused
 	crowdChance  = 0.1  // of that sign taken to be chance
 	streamPrior  = 6.0  // streams by which both counts are padded against chance
 	gapStart     = 0.03 // seconds; first guess of the token gap where no class has an aim
@@ -83,7 +85,7 @@
 
 // New returns a router for one gateway.
 func New(settings Settings, seed int64) *Router {
-	r := &Router{set: settings, rng: rand.New(rand.NewPCG(uint64(seed), sessionSalt)),
+	r := &Router{set: settings, rng: rand.New(rand.NewPCG(uint64(seed), sessionSalt)), lost: map[int]int{},
 		engines: map[string]*engine{}, open: map[int64]*request{}, retries: retryBurst, trust: 1,
 		tenants: make([]tenantRate, len(settings.Tenants)),
 		gain:    make([]float64, len(settings.Classes)+1),
@@ -150,11 +152,9 @@
 		seen[entry.Name] = true
 		r.learn(entry)
 	}
-	if l.Kind == ListFull {
-		for _, e := range r.engines {
-			if !seen[e.Name] {
-				e.State, e.told = Gone, true
-			}
+	for _, e := range r.engines {
+		if l.Kind == ListFull && !seen[e.Name] {
+			e.State, e.told = Gone, true
 		}
 	}
 	r.relist()
@@ -181,11 +181,8 @@
 
 // ask keeps the subscription where discovery tells only who asks. It backs off, with jitter, after failures.
 func (r *Router) ask() {
-	if !r.set.AskDiscovery {
-		return
-	}
 	wait := min(r.set.AskWithin*2, 500*ms<<min(r.asks, 4))
-	if r.askedAt != 0 && (r.subbed || r.now-r.askedAt < wait) {
+	if !r.set.AskDiscovery || r.askedAt != 0 && (r.subbed || r.now-r.askedAt < wait) {
 		return
 	}
 	r.askedAt = r.now + r.rng.Int64N(max(1, wait/2))
@@ -248,19 +245,7 @@
 // tooPoor tells that the fleet cannot serve all in time and this request is among the poorest part.
 func (r *Router) tooPoor(q *request) bool {
 	d := r.density(q)
-	below := 0
-	for _, other := range r.lately {
-		if other < d {
-			below++
-		}
-	}
-	n := len(r.lately)
-	if n < densities {
-		r.lately = append(r.lately, d)
-	} else {
-		r.lately[r.latelyAt] = d
-		r.latelyAt = (r.latelyAt + 1) % densities
-	}
+	below, n := r.note(d)
 	r.cut, r.cutAt = max(0, r.cut-cutFade*seconds(r.now-r.cutAt)), r.now
 	return n >= 8 && r.cut > 0 && float64(below) < r.cut*float64(n)
 }
@@ -320,11 +305,10 @@
 }
 
 func (r *Router) onFirst(ev *FirstToken) {
-	q := r.open[ev.Request]
-	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.attempts) {
+	q, a := r.attempt(ev.Request, ev.Attempt)
+	if a == nil {
 		return
 	}
-	a := q.attempts[ev.Attempt]
 	a.first = r.now
 	r.alive(a)
 	r.observeTTFT(a, seconds(ev.Elapsed))
@@ -354,11 +338,10 @@
 }
 
 func (r *Router) onOutcome(ev *Outcome) {
-	q := r.open[ev.Request]
-	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.attempts) || !q.attempts[ev.Attempt].out {
+	q, a := r.attempt(ev.Request, ev.Attempt)
+	if a == nil || !a.out {
 		return
 	}
-	a := q.attempts[ev.Attempt]
 	if ev.Report != nil && r.set.Reports == ReportReplies {
 		r.takeReport(a.e, ev.Report)
 	}
@@ -506,19 +489,17 @@
 // the same start; each takes its share of what the rule allows, measured against its own mean rate for
 // each engine, and saves it up from a random beginning so that they do not all send at once.
 func (r *Router) coldRoom(e *engine) bool {
-	if e.ReadyAt <= 0 || r.now-e.ReadyAt > r.set.WarmUp+r.set.Fall || r.set.WarmUp <= 0 {
+	if start := r.started(e); start <= 0 || r.now-start > r.set.WarmUp+r.set.Fall || r.set.WarmUp <= 0 {
 		e.coldAt = 0
 		return true
 	}
 	if e.coldAt == 0 {
 		e.coldAt = r.now
 	}
-	warm := clamp(float64(r.now-e.ReadyAt)/float64(r.set.WarmUp), 1)
-	share := r.set.ColdShare + (1-r.set.ColdShare)*warm
 	// The divisor is the fleet's usual size: when most engines are down, what is left of them must not be
 	// taken to be able to do all the work (guards against cold engines pushed over in a joint failure).
 	perEngine := r.rate / max(1, r.usual) * r.part(e)
-	e.coldTokens += perEngine * share * r.set.FallFactor * coldMargin * seconds(r.now-e.coldAt)
+	e.coldTokens += perEngine * r.warm(e) * r.set.FallFactor * coldMargin * seconds(r.now-e.coldAt)
 	e.coldTokens, e.coldAt = min(e.coldTokens, 1.5), r.now
 	return e.coldTokens >= 1
 }
@@ -601,16 +582,7 @@
 	if q.Pool != 0 { // a pool in which nothing will do falls over to the others at once
 		some = prefer(some, func(e *engine) bool { return e.Pool == q.Pool })
 	}
-	home := r.atHome(q)
-	slices.SortStableFunc(some, func(a, b candidate) int {
-		if near := r.near(a.e); home && near != r.near(b.e) {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.rank, a.rank)
-	})
+	slices.SortStableFunc(some, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
 	// The more of the traffic this gateway sees, the more of the fleet it can tell apart.
 	scored := max(sampleSize, len(some)/max(1, r.set.Balancers))
 	all := r.all[:0]
@@ -644,10 +616,14 @@
 
 // usable are the engines that the rules and their state let a request go to.
 func (r *Router) usable(q *request, among []*engine, ignore bool) []candidate {
-	some := r.some[:0]
+	some, home := r.some[:0], r.atHome(q)
 	for _, e := range among {
 		if r.mayUse(q, e) && r.coldRoom(e) && !r.shut(e, ignore) {
-			some = append(some, candidate{e, r.match(q, e), rank(q.key(), e)})
+			c := candidate{e, r.match(q, e), rank(q.key(), e)}
+			if home && !r.near(e) { // below all of the own zone, in their own order
+				c.rank = -1 / c.rank
+			}
+			some = append(some, c)
 		}
 	}
 	r.some = some
@@ -835,12 +811,6 @@
 
 // ---- engine state and health ----
 
-func (r *Router) takeReport(e *engine, rep *Report) {
-	e.report = Report{clamp(rep.Memory, 2), clamp(rep.Unread, 1000), clamp(rep.Slots, 2)}
-	e.reportAt, e.sentTokens = r.now, 0
-	r.fleet.toward(&e.report, 0.05)
-}
-
 // load is the engine's state as far as known: its report, faded by age towards the fleet's mean, and what
 // this gateway sent since.
 func (r *Router) load(e *engine) Report {
@@ -859,18 +829,50 @@
 // alive notes a sign of life of the attempt's engine.
 func (r *Router) alive(a *attempt) {
 	r.dropWaiting(a)
+	r.returned(a.e)
 	a.e.heard = r.now
 	a.e.suspect, a.e.down = false, false
 	a.e.sour -= sourRate * a.e.sour
 	r.tenant(a.q).sour *= 1 - sourTenant
 }
 
+// returned takes an engine that answers, after it could not be reached, to have been started anew: discovery
+// tells that seconds later, when all have gone back to it. Of a lost zone, all is taken so.
+func (r *Router) returned(e *engine) {
+	if e.down {
+		for _, o := range r.with(e) {
+			if o.down && seconds(r.now-o.downAt) >= backLeast {
+				o.back, o.since, o.coldTokens, o.coldAt = r.now, r.now, r.rng.Float64(), r.now
+			}
+			o.suspect, o.down = o.suspect && !o.down, false
+		}
+	}
+	r.lost[e.Zone] = 0
+}
+
+// unreachable notes an engine that could not be connected to. Several of a zone in a row, no sign of life
+// in between, show that it is lost: one trial then stands for all, or each would have to be found out.
+func (r *Router) unreachable(e *engine) {
+	if !e.down {
+		e.down, e.downAt = true, r.now
+		r.lost[e.Zone]++
+	}
+	for _, o := range r.with(e) {
+		if !o.down {
+			o.downAt = r.now
+		}
+		o.suspect, o.down, o.trialAt = true, true, r.now
+	}
+}
+
 // suspect leaves the engine out but for trials. A connection that is refused shows that it is down.
 func (r *Router) suspect(e *engine, down bool) {
 	if !e.suspect || down {
 		e.suspect, e.trialAt = true, r.now
 	}
-	e.down = e.down || down
+	if down {
+		r.unreachable(e)
+	}
 }
 
 // refused notes an error, a turn-down or a lost connection. An engine that fails at once carries little,
@@ -973,8 +975,7 @@
 	if e == nil {
 		return
 	}
-	e.probing = false
-	if ev.OK {
+	if e.probing = false; ev.OK {
 		e.heard = r.now
 		if ev.Report != nil && r.set.Reports != ReportNone {
 			r.takeReport(e, ev.Report)
--- a/state.go
+++ b/state.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 )
 
@@ -24,6 +25,8 @@
 	heard      int64      // last sign of life
 	suspect    bool
 	down       bool    // found down, not only slow
+	downAt     int64   // since when
+	back       int64   // when it answered again after that; 0: it has not
 	drag       mean    // log of told over predicted token gap
 	sour       float64 // share of errors and turn-downs among its latest answers
 	trialAt    int64
@@ -69,9 +72,10 @@
 	engines    map[string]*engine
 	ready      []*engine // listed ready, by name
 	rings      map[place][]*engine
-	ownPart    float64 // of the ready engines' size, in the own zone
-	meanSize   float64 // of the ready engines
-	seen       uint64  // number of the latest sample
+	lost       map[int]int // by zone: engines that could not be reached since its last sign of life
+	ownPart    float64     // of the ready engines' size, in the own zone
+	meanSize   float64     // of the ready engines
+	seen       uint64      // number of the latest sample
 	looked     []*engine
 	some       []candidate // kept for their room, as all is
 	all        []option
@@ -449,3 +453,61 @@
 	}
 	return &r.tenants[q.Tenant]
 }
+
+// note keeps a request's worth for its work among the latest, and tells how many there were and how many of them less.
+func (r *Router) note(density float64) (below, all int) {
+	for _, other := range r.lately {
+		if other < density {
+			below++
+		}
+	}
+	all = len(r.lately)
+	if all < densities {
+		r.lately = append(r.lately, density)
+		return below, all
+	}
+	r.lately[r.latelyAt] = density
+	r.latelyAt = (r.latelyAt + 1) % densities
+	return below, all
+}
+
+// attempt is one of a request's, and the request; nil where there is none such.
+func (r *Router) attempt(id int64, leg int) (*request, *attempt) {
+	q := r.open[id]
+	if q == nil || leg < 0 || leg >= len(q.attempts) {
+		return nil, nil
+	}
+	return q, q.attempts[leg]
+}
+
+func (r *Router) takeReport(e *engine, rep *Report) {
+	e.report = Report{clamp(rep.Memory, 2), clamp(rep.Unread, 1000), clamp(rep.Slots, 2)}
+	e.reportAt, e.sentTokens = r.now, 0
+	r.fleet.toward(&e.report, 0.05)
+}
+
+// started is the engine's last start, as told, or as taken from its coming back; 0: long ago. What is told of a start
+// comes within the time in which discovery must be asked: one that is not told by then was none.
+func (r *Router) started(e *engine) int64 {
+	if e.back > e.ReadyAt && r.now-e.back < r.set.AskWithin {
+		return e.back
+	}
+	return e.ReadyAt
+}
+
+// warm is the part of its capacity that the engine has at the least.
+func (r *Router) warm(e *engine) float64 {
+	start := r.started(e)
+	if start <= 0 || r.set.WarmUp <= 0 || !(r.set.ColdShare > 0) {
+		return 1
+	}
+	return r.set.ColdShare + (1-r.set.ColdShare)*clamp(float64(r.now-start)/float64(r.set.WarmUp), 1)
+}
+
+// with is an engine, and all of its zone where that is lost.
+func (r *Router) with(e *engine) []*engine {
+	if r.lost[e.Zone] < lostZone || r.set.Zones < 2 {
+		return []*engine{e}
+	}
+	return slices.DeleteFunc(slices.Clone(r.ready), func(o *engine) bool { return o.Zone != e.Zone && o != e })
+}
