Real servers: a stream is silent by its own measure where clients ask for the rest

Ruled out: resets (33, when the zone answers again); the first token's own 800 ms, which holds. At fault: streamQuiet, 3 s for every stream. Servers stand still for 600 ms at the most, and these streams bring an event every 150 ms. Where clients ask for the rest, a stream may now be silent for four of its own longest pauses, 1 s at the least and 3 s at the most; where they do not, for 3 s as before: cutting one whose events still come would lose it.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -423,7 +423,7 @@
 	if f == nil {
 		return
 	}
-	a := &Attempt{Flow: f, Leg: len(f.attempts), Server: act.Engine, Sent: time.Now(), post: c.post}
+	a := &Attempt{Flow: f, Leg: len(f.attempts), Server: act.Engine, Sent: time.Now(), Resumes: c.Settings.Resume, post: c.post}
 	a.Until = a.Sent.Add(time.Duration(act.Until - c.clock()))
 	refuse := f.isOver() || !a.Until.After(a.Sent) || c.attemptsSpent(f)
 	for _, other := range f.attempts {
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -121,6 +121,8 @@
 	Server string
 	Until  time.Time
 	Sent   time.Time
+	// Resumes tells that the client, should the stream break, asks for the rest of it.
+	Resumes bool
 
 	ctx   context.Context
 	stop  context.CancelCauseFunc
--- a/internal/realserver/moving.go
+++ b/internal/realserver/moving.go
@@ -55,6 +55,17 @@
 	end    tail
 	size   int
 	held   time.Duration
+	passed time.Time     // when the latest event was passed on
+	pause  time.Duration // the longest in which the server sent nothing between two events; 0: not known
+}
+
+// silence is for how long the stream may say nothing before it is taken to be broken. A client that will ask another
+// server for the rest loses its pace meanwhile, and all streams of a lost zone would come back at once.
+func (p *passage) silence(resumes bool) time.Duration {
+	if !resumes || p.pause == 0 {
+		return streamQuiet
+	}
+	return min(streamQuiet, max(restQuiet, pausesQuiet*p.pause))
 }
 
 // live are the streams that are passed on now, and where they move to once they do.
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -27,6 +27,8 @@
 	mailboxSize = 256             // messages that one real server's actor may have waiting
 	openQuiet   = time.Second     // the first event comes with the head; later than this it does not come
 	streamQuiet = 3 * time.Second // a begun stream that is silent for longer is taken to be broken
+	restQuiet   = time.Second     // at the least, where its client asks for the rest; servers stand still for up to 600 ms
+	pausesQuiet = 4               // of the stream's own longest pauses, likewise
 	readSize    = 16 << 10
 	headMost    = 16 << 10               // of an answer, 1xx ones ahead included
 	eventMost   = 64 << 10               // of one event
@@ -362,7 +364,7 @@
 	quiet := time.AfterFunc(openQuiet, func() { cancel(errNoEvent) })
 	if p.begun {
 		quiet.Stop()
-		quiet = time.AfterFunc(streamQuiet, func() { cancel(errQuiet) })
+		quiet = time.AfterFunc(p.silence(a.Resumes), func() { cancel(errQuiet) })
 	}
 	defer func() { quiet.Stop() }()
 	for {
@@ -380,13 +382,16 @@
 			if noted := p.end.note(p.buffer[:whole]); noted != nil {
 				return node.Result{Code: standpoint.ServerError}, noted
 			}
+			if p.begun && !p.passed.IsZero() {
+				p.pause = max(p.pause, time.Since(p.passed))
+			}
 			if !p.begun {
 				if !a.First() {
 					return node.Result{Code: failure(ctx, true, nil)}, errors.New("the flow is over")
 				}
 				p.begun = true
 				quiet.Stop()
-				quiet = time.AfterFunc(streamQuiet, func() { cancel(errQuiet) })
+				quiet = time.AfterFunc(p.silence(a.Resumes), func() { cancel(errQuiet) })
 				if l != nil {
 					v.add(l)
 				}
@@ -398,7 +403,8 @@
 			if wait := time.Since(from); wait > node.HeldLeast {
 				p.held += wait
 			}
-			quiet.Reset(streamQuiet)
+			quiet.Reset(p.silence(a.Resumes))
+			p.passed = time.Now()
 			if err != nil {
 				return node.Result{Code: standpoint.Cancelled}, err
 			}
--- a/internal/realserver/story_test.go
+++ b/internal/realserver/story_test.go
@@ -78,6 +78,45 @@
 	}
 }
 
+// Seen on zone+vast: 125 streams of a lost zone were found silent after 3 s, all at once, with no pace left to keep. Where clients
+// ask for the rest a stream is silent by its own measure; where they do not, cutting one whose events still come would lose it.
+func TestSilentStreams(t *testing.T) {
+	event := testpeer.Chunk("data: {\"choices\":[{}]}\n\n")
+	for name, c := range map[string]struct {
+		resume      bool
+		pause, stop time.Duration // between the first events; and before the answer's end
+		whole       bool
+		least, most time.Duration
+	}{
+		"the rest is asked for":     {true, 20 * time.Millisecond, time.Hour, false, time.Second, 2500 * time.Millisecond},
+		"the rest is not asked for": {false, 20 * time.Millisecond, time.Hour, false, 2900 * time.Millisecond, 5 * time.Second},
+		"a slow server":             {true, 500 * time.Millisecond, 1300 * time.Millisecond, true, 0, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			settings := testpeer.Settings()
+			settings.Resume = c.resume
+			n := testpeer.Start(t, settings, testpeer.Entry("s", testpeer.RawServer(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, testpeer.OpenAnswer+event)
+				for range 2 {
+					time.Sleep(c.pause)
+					_, _ = io.WriteString(conn, event)
+				}
+				select {
+				case <-time.After(c.stop):
+					_, _ = io.WriteString(conn, testpeer.Chunk("data: [DONE]\n\n")+"0\r\n\r\n")
+				case <-t.Context().Done():
+				}
+			})))
+			from := time.Now()
+			_, _, _, err := n.Do(n.Chat(t.Context(), nil))
+			took := time.Since(from)
+			require.Equal(t, c.whole, err == nil, err)
+			require.True(t, took >= c.least && took < c.most, took)
+		})
+	}
+}
+
 // Good answers that bring more than belongs to them are passed on, and what they bring is taken for nobody's.
 func TestGoodAnswersWithMore(t *testing.T) {
 	for name, script := range map[string]func(io.Writer, string){
