Module: thin nodes spill half of their sessions while servers are cold

The traffic leans to zone 1, and each of its nodes ranks its own zone first and hears of a given server once in 40 s. At fault: atHome. It spills what the own zone lacks of the fleet's size, and takes the traffic to be even.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -154,3 +154,42 @@
 		t.Fatalf("%d of 352 requests to a zone that only was cut off", warm)
 	}
 }
+
+// Seen on join+vast: the servers of the zone with more of the traffic had 0.9 of their places taken, their likes in the other 0.3;
+// each node ranks its own zone first and hears of a given server less than once a minute. A node that hears enough keeps to its zone, and
+// so do all once every server is warm.
+func TestThinGatewaysDoNotPressOnTheirZoneTogether(t *testing.T) {
+	share := func(nodes int, started int64) float64 {
+		s := base()
+		s.Balancers, s.Zones, s.CrossZonePrice, s.SecondCopies, s.WarmUp = nodes, 2, 0.03, false, 24*second
+		list := twoZones(40)
+		list.Engines[39].ReadyAt = started
+		f := newFleet(s, list)
+		var lean []*Router // three of four requests come to zone 0
+		for i, r := range f.nodes {
+			lean = append(lean, r)
+			if i%2 == 0 {
+				lean = append(lean, r, r)
+			}
+		}
+		f.nodes = lean
+		f.play(20*second, 88, served)
+		own, all := 0, 0
+		for i := range 40 {
+			all += f.sent[name(i)]
+			if i%2 == 0 {
+				own += f.sent[name(i)]
+			}
+		}
+		return float64(own) / float64(all)
+	}
+	if got := share(2, 100*second); got < 0.7 {
+		t.Errorf("%.2f of the requests stay in the zone of three quarters, before two busy nodes", got)
+	}
+	if got := share(80, second); got < 0.7 {
+		t.Errorf("%.2f of the requests stay in the zone of three quarters, before 80 nodes and warm servers", got)
+	}
+	if got := share(80, 100*second); got < 0.55 || got > 0.68 {
+		t.Errorf("%.2f of the requests stay in the zone of three quarters, before 80 thin nodes; half of what leans is 0.63", got)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -24,6 +24,7 @@
 	sampleKey    = 32        // engines of a larger one, by the request's key
 	samplePrefix = 8         // and by the key of its shared beginning
 	thinWait     = 0.1       // share of the warm-up in which a gateway that is not thin weighs each engine
+	thinSpill    = 0.5       // part of its sessions that a thin gateway ranks without regard to its zone
 	densities    = 64        // requests that a new one's worth for its work is ranked among
 	tenantSpan   = 3.0       // seconds over which a tenant's requests are counted
 	overQuota    = 1.5       // times its quota from which a tenant is taken to be over it
@@ -233,8 +234,7 @@
 		return 1
 	}
 	t := &r.tenants[q.Tenant]
-	t.rate = t.rate*math.Exp(-seconds(r.now-t.at)/tenantSpan) + 1/tenantSpan
-	t.at = r.now
+	t.count(r.now)
 	over := t.rate * float64(r.set.Balancers) / r.set.Tenants[q.Tenant].QuotaRPS
 	if over < overQuota {
 		return 1
@@ -423,11 +423,9 @@
 }
 
 func (r *Router) onTimer(token int64) {
-	if token == tokenTick {
+	if q := r.open[token/tokenStep]; token == tokenTick {
 		r.tick()
-		return
-	}
-	if q := r.open[token/tokenStep]; q != nil {
+	} else if q != nil {
 		r.end(q)
 	}
 }
@@ -573,10 +571,8 @@
 	}
 	some = prefer(some, func(e *engine) bool { return !e.Stale })
 	some = prefer(some, func(e *engine) bool { return e.due })
-	// A gateway that weighs a given engine but seldom uses its budget for a cold one with the first
-	// request that may.
-	thin := r.rate*sampleSize*thinWait*seconds(r.set.WarmUp) < float64(len(r.ready))
-	if thin && !slices.ContainsFunc(some, func(c candidate) bool { return c.match >= gateMatch }) {
+	// A thin gateway uses its budget for a cold engine with the first request that may.
+	if r.thin() && !slices.ContainsFunc(some, func(c candidate) bool { return c.match >= gateMatch }) {
 		some = prefer(some, func(e *engine) bool { return e.coldAt != 0 })
 	}
 	if q.Pool != 0 { // a pool in which nothing will do falls over to the others at once
@@ -638,11 +634,20 @@
 	return slices.DeleteFunc(all, func(c candidate) bool { return !test(c.e) })
 }
 
-// atHome tells whether the session is ranked in the own zone first. Where crossing costs nothing none is;
-// else all but what the own zone lacks of an even share of the fleet's size.
+// thin tells that this gateway weighs a given engine but seldom, and so knows little of its load.
+func (r *Router) thin() bool {
+	return r.rate*sampleSize*thinWait*seconds(r.set.WarmUp) < float64(len(r.ready))
+}
+
+// atHome tells whether the session is ranked in the own zone first: none where crossing is free, else all
+// but what the own zone lacks of an even share of the fleet's size. While engines are cold a thin gateway
+// cannot see whether its zone bears its traffic, and all of that zone would press on what is left together.
 func (r *Router) atHome(q *request) bool {
-	cost, spill := r.set.CrossZonePrice > 0 && r.set.Zones > 1, 1-r.ownPart*float64(r.set.Zones)
-	return cost && unit(mix(q.key(), prefixSalt)) >= spill
+	spill := 1 - r.ownPart*float64(r.set.Zones)
+	if r.thin() && r.now < r.coldUntil {
+		spill = max(spill, thinSpill)
+	}
+	return r.set.CrossZonePrice > 0 && r.set.Zones > 1 && unit(mix(q.key(), prefixSalt)) >= spill
 }
 
 // ---- match table and assumed homes ----
@@ -753,14 +758,12 @@
 		gap := decode / tokens / r.gap
 		d := min(1.5, max(-1.5, math.Log(gap/stretch)))
 		a.e.drag.add(d, gapEngine)
-		r.gapUsual.add(d, gapSlow)
-		r.gapNow.add(d, gapFast)
+		r.noteGap(d)
 		r.train(r.pace, a, gap)
 		return
 	}
 	d := y - c.mean - math.Log(stretch)
-	r.gapUsual.add(d, gapSlow)
-	r.gapNow.add(d, gapFast)
+	r.noteGap(d)
 	if overLimit/stretch/math.Exp(r.gapSway()) > r.gap {
 		r.gap *= math.Exp(gapStep * (1 - gapTop))
 	} else {
@@ -957,10 +960,8 @@
 	}
 	var oldest *engine
 	for _, e := range r.ready {
-		if e.probing || !r.near(e) && r.set.CrossZonePrice > 0 {
-			continue
-		}
-		if oldest == nil || e.probedAt < oldest.probedAt {
+		may := !e.probing && (r.near(e) || r.set.CrossZonePrice <= 0)
+		if may && (oldest == nil || e.probedAt < oldest.probedAt) {
 			oldest = e
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -75,6 +75,7 @@
 	lost       map[int]int // by zone: engines that could not be reached since its last sign of life
 	ownPart    float64     // of the ready engines' size, in the own zone
 	meanSize   float64     // of the ready engines
+	coldUntil  int64       // when the last of those that are known to have started is warm
 	seen       uint64      // number of the latest sample
 	looked     []*engine
 	some       []candidate // kept for their room, as all is
@@ -342,6 +343,9 @@
 			delete(r.engines, name)
 		} else if !e.told {
 			r.ready = append(r.ready, e)
+			if e.ReadyAt > 0 {
+				r.coldUntil = max(r.coldUntil, e.ReadyAt+r.set.WarmUp)
+			}
 		}
 	}
 	fade := math.Exp2(-seconds(r.now-r.usualAt) / 60)
@@ -445,6 +449,18 @@
 	sour float64 // share of errors among its latest answers, from all engines
 }
 
+// count takes in a request of the tenant.
+func (t *tenantRate) count(now int64) {
+	t.rate = t.rate*math.Exp(-seconds(now-t.at)/tenantSpan) + 1/tenantSpan
+	t.at = now
+}
+
+// noteGap takes in how much slower tokens came than the model knew, in logarithm.
+func (r *Router) noteGap(d float64) {
+	r.gapUsual.add(d, gapSlow)
+	r.gapNow.add(d, gapFast)
+}
+
 // tenant is what is known of a request's tenant. Where there is one alone, or none, it cannot be told from the others.
 func (r *Router) tenant(q *request) *tenantRate {
 	if len(r.tenants) < 2 || q.Tenant < 0 || q.Tenant >= len(r.tenants) {
