Module: a further attempt stays in its pool when the pool lies in one zone

Seen in review: a request whose pool lies in one hall left it once one server there could not be reached, though others of the pool were fit. At fault: the preference for other zones, which came before the one for the pool.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -34,6 +34,28 @@
 	}
 }
 
+// A pool that lies in one zone is not left because one of its servers could not be reached.
+func TestAPoolInOneZoneIsKept(t *testing.T) {
+	s := base()
+	s.Zones, s.CrossZonePrice, s.SecondCopies = 2, 0.03, false
+	list := twoZones(12)
+	for i := range list.Engines {
+		list.Engines[i].Pool = 1 + list.Engines[i].Zone
+	}
+	for seed := range int64(20) {
+		r := New(s, seed)
+		feed(r, 0, list)
+		q := ask(1, 5*second)
+		q.Pool = 2
+		feed(r, second, q)
+		got := feed(r, second+100*ms, &Outcome{Request: 1, Code: NoConnection})
+		expect(t, got, "send ")
+		if e := r.engines[got[0].Engine]; e.Pool != 2 {
+			t.Fatalf("seed %d: the second attempt leaves its pool", seed)
+		}
+	}
+}
+
 // fleet is many gateways that play together in virtual time, each with a little of the traffic. Every attempt is answered
 // as answer says.
 type fleet struct {
--- a/router.go
+++ b/router.go
@@ -567,7 +567,7 @@
 	}
 	if len(q.attempts) > 0 { // not where it failed, nor in a zone that it could not reach, if others do
 		some = prefer(some, func(e *engine) bool { return !q.tried(e) })
-		some = prefer(some, func(e *engine) bool { return !q.cutOff(e.Zone) })
+		some = prefer(some, func(e *engine) bool { return q.mayReach(e) })
 	}
 	some = prefer(some, func(e *engine) bool { return !e.Stale })
 	some = prefer(some, func(e *engine) bool { return e.due })
--- a/state.go
+++ b/state.go
@@ -164,14 +164,15 @@
 	return false
 }
 
-// cutOff tells that an attempt of the request could not connect to a server of that zone.
-func (q *request) cutOff(zone int) bool {
+// mayReach tells that no attempt of the request failed to connect to a server of the engine's zone. A request that belongs to
+// a pool looks for others there alone.
+func (q *request) mayReach(e *engine) bool {
 	for _, a := range q.attempts {
-		if !a.out && a.code == NoConnection && a.e.Zone == zone {
-			return true
+		if !a.out && a.code == NoConnection && a.e.Zone == e.Zone {
+			return false
 		}
 	}
-	return false
+	return q.Pool == 0 || e.Pool == q.Pool
 }
 
 // key is what the request's rank among the engines hangs on.
