--- a/fleet_test.go
+++ b/fleet_test.go
@@ -215,3 +215,28 @@
 		t.Errorf("%.2f of the requests stay in the zone of three quarters, before 80 thin nodes; half of what leans is 0.63", got)
 	}
 }
+
+// What is believed of cold servers and of zones holds at its edges: no capacity told, a start that the list takes back, zones with new numbers.
+func TestColdAndLostAtTheirEdges(t *testing.T) {
+	s := base()
+	s.Zones, s.ColdShare = 2, 0
+	r := New(s, 1)
+	list := twoZones(8)
+	list.Engines[0].ReadyAt = 100 * second
+	feed(r, 100*second, list)
+	if w := r.warm(r.engines[name(0)]); w != 0 {
+		t.Errorf("a server that has just started is taken to have %g of its capacity, and none is told", w)
+	}
+	list.Engines[0].ReadyAt = 1e6 * second
+	feed(r, 101*second, list)
+	list.Engines[0].ReadyAt = 0
+	feed(r, 102*second, list)
+	if r.coldUntil > 102*second {
+		t.Error("a start that is told no longer is still believed")
+	}
+	r.lost[0] = lostZone
+	r.Adjust(s)
+	if len(r.with(r.engines[name(0)])) != 1 {
+		t.Error("a zone is lost that may be another by now")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -332,13 +332,13 @@
 	if len(blank.tenants) != len(r.tenants) {
 		r.tenants = blank.tenants
 	}
-	r.set = settings
+	r.set, r.lost = settings, blank.lost // zones may have other numbers
 	r.rering()
 }
 
 // relist forgets engines that are gone and idle, and orders the ready ones by name.
 func (r *Router) relist() {
-	r.ready = r.ready[:0]
+	r.ready, r.coldUntil = r.ready[:0], 0
 	for name, e := range r.engines {
 		if e.State == Gone && e.out == 0 {
 			delete(r.engines, name)
@@ -515,7 +515,7 @@
 // warm is the part of its capacity that the engine has at the least.
 func (r *Router) warm(e *engine) float64 {
 	start := r.started(e)
-	if start <= 0 || r.set.WarmUp <= 0 || !(r.set.ColdShare > 0) {
+	if start <= 0 || r.set.WarmUp <= 0 {
 		return 1
 	}
 	return r.set.ColdShare + (1-r.set.ColdShare)*clamp(float64(r.now-start)/float64(r.set.WarmUp), 1)
