Discovery: a watch that falls silent is opened anew within 6 s, pushed lists always watched

Ruled out: failed calls (41, all answered 503 in the first seconds and repeated), refusals by the module (2%). At fault: watchWait of 20 s and watchSlack of 2 s (entries.go), which also end on the very moment at which what was missed counts as told, with the module's pause of 0.5 s and more behind it.

A wait is 4 s with 1 s of slack: what a silent watch missed counts as told 6 s after it fell silent, or 2 s after its wait. A silent call is made again within 0.3 s, drawn, on another connection; a second silent one in a row has failed. Each call has a connection of its own, so that nothing behind an answer is taken for the next. Where lists are pushed the watch stands from the first moment, and the node waits for the list before it serves. A discovery whose versions begin anew is asked for the whole list.

--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -26,7 +26,7 @@
 	recallLook  = 10 * time.Millisecond
 	partTime    = 600 * time.Millisecond // after which only those connections are open that have an answer under way, or rest
 	moveTime    = 2 * time.Second        // after which streams that are not over move
-	leaveMargin = 100 * time.Millisecond // before the kill, when this process is gone whatever hangs
+	leaveMargin = 100 * time.Millisecond // before the kill, when this process is gone whatever hangs, or has no connection left but those with a request
 )
 
 // meet looks for other processes of this node, where staff may start a second one beside the first: both find each other
@@ -231,7 +231,8 @@
 // await waits, for a bounded time, for the first word of the list's source: where another process serves meanwhile, which
 // knows a newer list than this one was started with, and where this one was started with none, and could serve nobody.
 func (a *assembly) await(stop context.Context) {
-	if a.heard == nil || a.others == 0 && len(a.platform.Known) > 0 {
+	// A list that is pushed binds from this process's first moment, however old the one that it was started with.
+	if a.heard == nil || a.others == 0 && len(a.platform.Known) > 0 && a.platform.Settings.AskDiscovery {
 		return
 	}
 	select {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -95,6 +95,7 @@
 		a.news(l)
 		a.first.Do(func() { close(a.heard) })
 	}, a.log)
+	watcher.Pushed = !cfg.Settings.AskDiscovery
 	if a.others > 0 { // who serves meanwhile knows a newer one than what this process was started with
 		watcher.Anew()
 	}
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -22,12 +23,16 @@
 )
 
 const (
-	watchWait  = 20 * time.Second // asked of discovery
-	watchSlack = 2 * time.Second  // beyond which a watch without an answer has failed
-	wholeTime  = 2 * time.Second  // for the whole list of a new discovery
-	bodyMost   = 4 << 20
-	sizeMost   = 1e6 // of a box, in the list's own unit
-	bornMost   = math.MaxInt64 / int64(time.Millisecond)
+	// A watch that has fallen silent looks like one with nothing new until its wait is over: what it missed counts as told
+	// 2 s after that wait, and 6 s after it fell silent at the earliest. The wait is as short as keeps the second from being
+	// later than the first, and what is left of the 2 s is for asking anew.
+	watchWait    = 4 * time.Second        // asked of discovery
+	watchSlack   = time.Second            // beyond which a watch without an answer has fallen silent
+	silentJitter = 300 * time.Millisecond // at the most, before it is opened anew: many fall silent at once
+	wholeTime    = 2 * time.Second        // for the whole list of a new discovery
+	bodyMost     = 4 << 20
+	sizeMost     = 1e6 // of a box, in the list's own unit
+	bornMost     = math.MaxInt64 / int64(time.Millisecond)
 
 	moveRest     = 50 * time.Millisecond // after a call to a new discovery that failed; doubled each time
 	moveRestMost = 500 * time.Millisecond
@@ -115,12 +120,19 @@
 	wish  chan struct{}
 	moves chan place
 
+	// Pushed, set before Run, tells that what discovery has counts as told whether this node asks or not: the watch then
+	// stands from the first moment on, whatever is wished for, and is opened anew as soon as it breaks.
+	Pushed bool
+
+	wait, slack time.Duration // watchWait and watchSlack, but in tests
+
 	// The actor's alone.
-	at    place
-	http  *http.Client
-	seq   int64 // version of the list held; it says nothing to another discovery
-	moved bool  // the list held is another discovery's
-	fails int   // calls in a row that failed since the move
+	at     place
+	http   *http.Client
+	seq    int64 // version of the list held; it says nothing to another discovery
+	moved  bool  // the list held is another discovery's
+	fails  int   // calls in a row that failed since the move, or at all where lists are pushed
+	silent bool  // the latest call got no answer at all
 }
 
 // place is where the list is had, and its words.
@@ -131,16 +143,18 @@
 
 // NewWatcher makes the actor; seq is the version of the list that the core holds already.
 func NewWatcher(address string, names Names, seq int64, news func(node.List), log *zap.Logger) *Watcher {
-	return &Watcher{at: place{listAt(address), names}, http: caller(), seq: seq, news: news, log: log,
+	return &Watcher{at: place{listAt(address), names}, http: caller(), seq: seq, news: news, log: log, wait: watchWait, slack: watchSlack,
 		wish: make(chan struct{}, 1), moves: make(chan place, 1)}
 }
 
 func listAt(address string) string { return "http://" + address + "/catalog/members" }
 
 func caller() *http.Client {
+	// Each call has a connection of its own: what comes behind an answer, late or at once, is nobody's, and an answer that
+	// belongs to the call before must not be taken for news.
 	return &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
-		DisableCompression: true, MaxIdleConns: 2}}
+		DisableCompression: true, DisableKeepAlives: true}}
 }
 
 // Anew has the first call ask for the whole list, however new the one that is held: the answer does not wait for a change.
@@ -164,9 +178,12 @@
 }
 
 // Run keeps a watch standing once it is wished for. After a failed call the core is told, and its next
-// wish, which backs off, starts a new watch. After a move the actor does not wait for a wish: it asks until it has
-// the whole list of the new discovery, and goes on with that one's watch.
+// wish, which backs off, starts a new watch. After a move, and where lists are pushed, the actor does not wait for a wish:
+// it asks until it has the whole list of the new discovery, and goes on with that one's watch.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.Pushed {
+		w.Watch()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -180,7 +197,9 @@
 }
 
 // watch calls until a call fails. The next call must follow within 200 ms of each answer, so nothing is done in
-// between but handing on the news.
+// between but handing on the news. A call that gets no answer at all is a watch that has fallen silent: half open, or
+// forgotten by discovery. It is opened anew at once, on another connection, for what it missed counts as told soon; if
+// that one is silent too it is discovery that does not answer, and the call has failed.
 func (w *Watcher) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		call, stop := context.WithCancel(ctx)
@@ -206,12 +225,18 @@
 			case ctx.Err() != nil:
 				return
 			case a.err == nil:
-				w.seq, w.moved, w.fails = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0
+				w.seq, w.moved, w.fails, w.silent = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0, false
 				w.news(a.list)
-			case w.moved:
-				w.log.Info("the new discovery gave no list", zap.Error(a.err))
+			case errors.Is(a.err, context.DeadlineExceeded) && !w.silent && !w.moved:
+				w.log.Info("the watch fell silent, and is opened anew", zap.Error(a.err))
+				w.silent = true
+				w.sleep(ctx, rand.N(silentJitter))
+			case w.moved || w.Pushed || errors.Is(a.err, errOlder):
+				w.moved = w.moved || errors.Is(a.err, errOlder)
+				w.log.Info("discovery gave no list", zap.Error(a.err))
 				w.rest(ctx)
 			default:
+				w.silent = false
 				w.log.Info("watch failed", zap.Error(a.err))
 				w.drop()
 				w.news(node.List{Kind: standpoint.ListLost})
@@ -225,14 +250,21 @@
 	w.log.Info("discovery moved", zap.String("to", to.base))
 	w.http.CloseIdleConnections()
 	w.http = caller()
-	w.at, w.moved, w.fails = to, true, 0
+	w.at, w.moved, w.fails, w.silent = to, true, 0, false
 }
 
-// rest waits before the next call to a new discovery: briefly, for what it has to tell soon counts as told.
+// rest waits before the next call to a new discovery, or to one that pushes: briefly, for what it has to tell soon
+// counts as told. Half of it is drawn, for all nodes of a fleet may wait together.
 func (w *Watcher) rest(ctx context.Context) {
-	timer := time.NewTimer(min(moveRestMost, moveRest<<min(w.fails, 4)))
-	defer timer.Stop()
+	most := min(moveRestMost, moveRest<<min(w.fails, 4))
 	w.fails++
+	w.sleep(ctx, most/2+rand.N(most/2))
+}
+
+// sleep waits, but not for a move.
+func (w *Watcher) sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
@@ -249,13 +281,16 @@
 	}
 }
 
+// errOlder is that of a discovery whose versions have begun anew: what it tells as changes is none of the list held.
+var errOlder = errors.New("discovery told changes of an older list")
+
 // ask calls once: for the whole list, or for what is newer than the version held.
 func (w *Watcher) ask(ctx context.Context, client *http.Client, at place, after int64, whole bool) (int64, node.List, error) {
 	target, most := at.base, wholeTime
 	if !whole {
 		target += "?" + url.Values{"after": {strconv.FormatInt(after, 10)},
-			"wait_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)}}.Encode()
-		most = watchWait + watchSlack
+			"wait_ms": {strconv.FormatInt(w.wait.Milliseconds(), 10)}}.Encode()
+		most = w.wait + w.slack
 	}
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
@@ -279,8 +314,11 @@
 	if len(faults) > 0 {
 		w.log.Warn("service entries that cannot be used", zap.Errors("faults", faults))
 	}
-	if err == nil && whole && l.Kind != standpoint.ListFull {
+	switch {
+	case err == nil && whole && l.Kind != standpoint.ListFull:
 		err = errors.New("asked for the whole list, discovery told changes")
+	case err == nil && !whole && seq < after && l.Kind == standpoint.ListDelta:
+		err = fmt.Errorf("%w: version %d after %d", errOlder, seq, after)
 	}
 	return seq, l, err
 }
