Stop: what comes late is turned down at once, and streams are read to what has come

Need: after SIGTERM clients send on every connection that stays open up to the kill, and a stream that its server has finished is passed on to its end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,7 +123,7 @@
 				go func() { ended <- a.handOver(server, room, killed, log) }()
 				continue
 			}
-			go func() { ended <- a.drain(server, killed, shutdownTime, log) }()
+			go func() { ended <- a.drain(server, room, killed, shutdownTime, log) }()
 		case n := <-a.company:
 			a.among(n, room, log)
 		case err := <-ended:
@@ -223,7 +223,7 @@
 // drain leads the program to its end: it goes on accepting while clients may still come, then closes the listener
 // and waits for what it took. What the platform will cut is handed back in time; where nobody cuts, what is left after
 // most is answered in the same way.
-func (a *assembly) drain(server *http.Server, killed, most time.Duration, log *zap.Logger) error {
+func (a *assembly) drain(server *http.Server, room *edge.Room, killed, most time.Duration, log *zap.Logger) error {
 	if err := a.life.Move(node.Draining); err != nil {
 		return err
 	}
@@ -232,6 +232,7 @@
 	if killed > 0 {
 		last = killed
 		defer time.AfterFunc(min(handBackTime, killed-killMargin), func() { a.core.HandBack(false) }).Stop()
+		defer time.AfterFunc(killed-leaveMargin, room.Clear).Stop()
 	}
 	defer time.AfterFunc(last-killMargin, func() { a.core.HandBack(true) }).Stop()
 	time.Sleep(lateClients)
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -138,6 +138,18 @@
 	_ = p.SetReadDeadline(now)
 }
 
+// Clear closes the connections on which no request is open. A request that crosses that comes again elsewhere; one that
+// came a moment before the process is killed would get no answer.
+func (r *Room) Clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.places {
+		if !p.busy {
+			_ = p.Conn.Close()
+		}
+	}
+}
+
 // Resize changes how many connections there may be.
 func (r *Room) Resize(most int) {
 	r.mu.Lock()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -112,6 +112,7 @@
 	places  *Shares
 	start   time.Time
 	census  int64 // when the real servers were last counted
+	leaving bool  // all has been handed back: what still comes is turned down at once
 }
 
 // Messages of the mailbox.
@@ -206,8 +207,8 @@
 }
 
 // HandBack gives up what this node cannot bring to an end: begun streams, whose clients ask another node for the
-// rest, and, with all, flows that still wait, which are turned down. Where clients do not ask for the rest, streams
-// run on.
+// rest, and, with all, flows that still wait, which are turned down, as is from then on whatever comes. Where clients do not ask
+// for the rest, streams run on.
 func (c *Core) HandBack(all bool) { c.post(handBack{all}) }
 
 // Stopped is closed when the core has stopped.
@@ -332,6 +333,7 @@
 	case recalled:
 		m.done <- c.router.Recall(m.l, c.clock())
 	case handBack:
+		c.leaving = c.leaving || m.all
 		for _, f := range c.flows {
 			if c.Settings.Resume {
 				f.breakOff(ErrHandedBack)
@@ -342,6 +344,11 @@
 			}
 		}
 	case taken:
+		// Clients go on sending on every connection that is open until the kill, which is near.
+		if c.leaving && m.f.settle(Answer{Kind: TurnedDown, Wait: handBackWait}) {
+			close(m.f.idle)
+			return
+		}
 		c.nextID++
 		m.f.Request.ID = c.nextID
 		c.flows[c.nextID] = m.f
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -104,12 +104,20 @@
 	return false
 }
 
-// breakOff stops the attempt that has claimed the flow, if one has.
+// breakOff stops the attempt that has claimed the flow, if one has. One that is handed back first takes what its server
+// has sent already: that may be the end of its stream.
 func (f *Flow) breakOff(why error) {
 	f.mu.Lock()
 	a := f.claimed
-	f.mu.Unlock()
+	var leave func() bool
 	if a != nil {
+		leave = a.leave
+	}
+	f.mu.Unlock()
+	switch {
+	case a == nil:
+	case errors.Is(why, ErrHandedBack) && leave != nil && leave():
+	default:
 		a.stop(why)
 	}
 }
@@ -131,6 +139,15 @@
 	out   bool          // the core's alone: no outcome yet
 	first time.Duration // likewise: from the sending to the first event; 0: none yet
 	given bool          // under the flow's lock: given up
+	leave func() bool   // likewise: ends the stream once what has come of it is passed on; nil: by its context alone
+}
+
+// OnHandBack sets what has the attempt's stream end, once it is handed back, behind all that its server has sent by then.
+// leave must not wait; false: it cannot, and the attempt's context ends.
+func (a *Attempt) OnHandBack(leave func() bool) {
+	a.Flow.mu.Lock()
+	defer a.Flow.mu.Unlock()
+	a.leave = leave
 }
 
 // HeldLeast is from when on a client counts as slow to take an event; less may be this machine's own delay.
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -17,6 +17,14 @@
 
 var errFrozen = errors.New("the stream moves to another process")
 
+// errLeft is found by the reader of an answer that is handed back, behind all that had come.
+var errLeft = errors.New("the stream is handed back to its client")
+
+const (
+	leaveGrace = 30 * time.Millisecond  // for what is under way of an answer that is handed back: it may be its end
+	leaveMost  = 300 * time.Millisecond // in all, for one that comes without a pause
+)
+
 var errSpent = errors.New("the connection holds what no request asked for, or its end")
 
 // keep is for how long links to a real server are used again after they rested. The server may drop one without a
@@ -68,6 +76,7 @@
 	chunks   chunks        // where the answer stands
 	lost     bool          // that is not known
 	frozen   atomic.Bool   // nothing more is read here
+	leaves   time.Time     // until when what has come is still read of an answer that is handed back; zero: it is not
 	owed     int           // bytes of the request that are not written; its head counts as one until its end
 }
 
@@ -77,6 +86,9 @@
 		return 0, errFrozen
 	}
 	n, err := l.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !l.frozen.Load() {
+		n, err = l.behind(b, err)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.frozen.Load() && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -128,6 +140,40 @@
 	return l.Conn.SetReadDeadline(time.Now()) == nil
 }
 
+// leave has the answer's reader find errLeft once it has taken all that has come. False: it is over, or ends in another way.
+func (l *link) leave() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.frozen.Load() || l.ended || l.spent || l.broken {
+		return false
+	}
+	now := time.Now()
+	l.leaves = now.Add(leaveMost)
+	return l.Conn.SetReadDeadline(now.Add(leaveGrace)) == nil
+}
+
+// behind reads on past the deadline of an answer that is handed back, while the socket holds something.
+func (l *link) behind(b []byte, deadline error) (int, error) {
+	l.mu.Lock()
+	leaves := l.leaves
+	l.mu.Unlock()
+	now := time.Now()
+	switch {
+	case leaves.IsZero():
+		return 0, deadline
+	case now.After(leaves) || !l.stirring():
+		return 0, errLeft
+	}
+	if err := l.Conn.SetReadDeadline(now.Add(leaveGrace)); err != nil {
+		return 0, err
+	}
+	n, err := l.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errLeft
+	}
+	return n, err
+}
+
 // where is where the answer stands. False: that is not known, or there is nothing left of it.
 func (l *link) where() (chunks, bool) {
 	l.mu.Lock()
--- a/internal/realserver/moving_test.go
+++ b/internal/realserver/moving_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"io"
 	"net"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -83,3 +85,45 @@
 		near.Close()
 	})
 }
+
+// An answer that is handed back is read on as long as its server's bytes are there: the end of it may be among them.
+func TestHandedBackBehindWhatHasCome(t *testing.T) {
+	for name, sent := range map[string]string{"to its end": wholeAnswer, "not to its end": wholeAnswer[:len(wholeAnswer)-40]} {
+		near, far := socketPair(t)
+		_, err := io.WriteString(far, sent)
+		require.NoError(t, err)
+		l := &link{Conn: near, keep: &keep{}}
+		require.NoError(t, unreadBytes(near, len(sent)))
+		require.True(t, l.leave())
+		require.NoError(t, near.SetReadDeadline(time.Unix(1, 0))) // the time for what is under way is over
+		var got bytes.Buffer
+		_, err = io.Copy(&got, l)
+		require.ErrorIs(t, err, errLeft, name)
+		require.Equal(t, sent, got.String(), name)
+		near.Close()
+		far.Close()
+	}
+}
+
+func socketPair(t *testing.T) (near, far net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	near, err = net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	far, err = listener.Accept()
+	require.NoError(t, err)
+	return near, far
+}
+
+// unreadBytes waits until so many bytes stand in the socket.
+func unreadBytes(c net.Conn, n int) error {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		got, _, _ := syscall.Recvfrom(int(fd), make([]byte, n), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return got == n
+	})
+}
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -357,6 +357,7 @@
 	// Connections to a machine that vanished stay open and silent; the client is not left waiting on one.
 	if l != nil {
 		defer v.remove(l)
+		a.OnHandBack(l.leave)
 	}
 	if p.begun && l != nil {
 		v.add(l)
@@ -417,6 +418,8 @@
 			return node.Result{Code: standpoint.ServerError, Report: p.end.report}, errors.New("the answer ends before its last event")
 		case errors.Is(err, errFrozen) && l != nil:
 			return v.leave(p, a, l)
+		case errors.Is(err, errLeft):
+			return node.Result{Code: standpoint.Cancelled, Report: p.end.report}, err
 		case err != nil:
 			return node.Result{Code: failure(ctx, true, l), Report: p.end.report}, err
 		case len(p.buffer) > eventMost, p.size > streamMost:
