Module: what is refused is spread over classes and tenants; connections closed unheard are counted

No class, and no tenant within its quota, now loses more than half of its requests to others; what is beyond a quota may go whole.

The allowance of a cold server over 300 nodes, whatever their number is thought to be, has its test (TestAColdServersAllowanceOverAllNodes): it holds as it is.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -1,6 +1,9 @@
 package standpoint
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // twoZones lists engines evenly over two zones.
 func twoZones(n int) *EngineList {
@@ -240,3 +243,86 @@
 		t.Error("a zone is lost that may be another by now")
 	}
 }
+
+// What the fleet gives up is spread: however poor its requests, no class and no tenant within its quota loses more than the
+// stated part, while what is beyond a quota may be refused whole.
+func TestNoClassOrTenantStarves(t *testing.T) {
+	s := base()
+	s.Balancers, s.OverShareWorth = 1, 0.05
+	s.Tenants = []Tenant{{QuotaRPS: 60}, {QuotaRPS: 60}, {QuotaRPS: 10}}
+	s.Classes = append(s.Classes, s.Classes[0])
+	s.Classes[1].Worth = 50
+	for name, poor := range map[string]func(i int64, q *Request) bool{
+		"class": func(i int64, q *Request) bool { // worth a fiftieth
+			q.Tenant = int(i / 2 % 2)
+			q.Class = int(i % 2)
+			return q.Class == 0
+		},
+		"tenant": func(i int64, q *Request) bool { // all of its prompts are long
+			q.Class, q.Tenant = 1, int(i%2)
+			if q.Tenant == 0 {
+				q.PromptTokens *= 20
+			}
+			return q.Tenant == 0
+		},
+		"beyond its quota": func(i int64, q *Request) bool {
+			q.Class, q.Tenant = 1, int(i%2)*2
+			return q.Tenant == 2
+		},
+	} {
+		r := New(s, 1)
+		feed(r, 0, ready("a", "b", "c"))
+		asked, refused := 0.0, 0.0
+		for i := int64(1); i <= 1200; i++ { // 100 a second
+			now := i * 10 * ms
+			r.cut, r.cutAt = 0.45, now
+			q := ask(i, now+2*second)
+			mine := poor(i, q)
+			got := kinds(feed(r, now, q))
+			if mine && i > 200 {
+				asked++
+				if got == "shed " {
+					refused++
+				}
+			}
+		}
+		if part := refused / asked; name == "beyond its quota" && part < 0.7 || name != "beyond its quota" && (part < 0.3 || part > starveMost+0.05) {
+			t.Errorf("%s: %.2f of the poorest refused", name, part)
+		}
+	}
+}
+
+// A server that has just started gets no more in any of the windows in which it could fall than the rule allows, N + 3 root of N
+// + 3 requests, whatever the number of nodes is thought to be: from the first moment of a start that is told to all at once,
+// with all of the traffic before it and nothing else cold.
+func TestAColdServersAllowanceOverAllNodes(t *testing.T) {
+	for _, thought := range []int{1, 300, 3000} {
+		s := base()
+		s.Balancers, s.WarmUp, s.ColdShare, s.FallFactor, s.Fall = 300, 24*second, 0.13, 4, 3*second
+		list := &EngineList{Kind: ListFull}
+		for i := range 99 {
+			list.Engines = append(list.Engines, Engine{Name: name(i), Size: 1})
+		}
+		f := newFleet(s, list)
+		for _, r := range f.nodes {
+			r.set.Balancers = thought
+		}
+		const each = 300.0 // 3 to each server: what they are taken to do when warm
+		f.play(20*second, each, served)
+		start := f.now
+		list.Engines = append(list.Engines, Engine{Name: name(99), Size: 1, ReadyAt: start})
+		f.tell(list)
+		for window := start; window < start+s.WarmUp; window += s.Fall {
+			before := f.sent[name(99)]
+			f.play(s.Fall, each, served)
+			warm := s.ColdShare + (1-s.ColdShare)*seconds(window-start)/seconds(s.WarmUp)
+			n := s.FallFactor * warm * each / 100 * seconds(s.Fall)
+			if sent := float64(f.sent[name(99)] - before); sent > n+3*math.Sqrt(n)+3 {
+				t.Fatalf("%d nodes thought: %g requests %d s after the start, the rule allows %.1f", thought, sent, (window-start)/second, n+3*math.Sqrt(n)+3)
+			}
+		}
+		if f.sent[name(99)] == 0 {
+			t.Fatal("it got nothing at all")
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,6 +98,7 @@
 	a.await(stop)
 	a.recall(stop, began)
 	room := edge.NewRoom(listener, a.now.limits.EdgeConnections(), log)
+	room.Figures = a.figures
 	server := edge.NewServer(a.handler(), room, log)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(room) }()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -144,6 +144,17 @@
 	text   string
 }
 
+// cause is by what it is counted.
+func (f *fault) cause() figures.Unsent {
+	switch f.status {
+	case http.StatusConflict:
+		return figures.Repeated
+	case http.StatusRequestTimeout:
+		return figures.SlowBody
+	}
+	return figures.Malformed
+}
+
 func (f *fault) Error() string { return f.text }
 
 func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
@@ -192,6 +203,7 @@
 		_ = control.SetReadDeadline(time.Now().Add(partTime))
 	}
 	f.ended(r, figures.Failure)
+	f.Figures.FailedUnsent(bad.cause())
 	f.Log.Info("malformed request", zap.String("fault", bad.text))
 	refuse(w, bad.status, bad.text)
 }
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -1,14 +1,18 @@
 package edge
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+
+	"standpoint/internal/figures"
 )
 
 const (
@@ -28,6 +32,9 @@
 // connections that they do not use, or say nothing on them, cannot shut others out.
 type Room struct {
 	net.Listener
+	// Figures, if not nil, counts the connections that are closed without an answer. It is set before the room is in use.
+	Figures *figures.Figures
+
 	most   int
 	closed chan struct{}
 	once   sync.Once
@@ -48,7 +55,11 @@
 	heard         atomic.Bool // something has come on it
 	busy, leaving bool
 	asked         bool // a whole head has come on it
-	head          head // of the request that comes
+	cleared       bool // closed because the node stops
+	answered      atomic.Bool
+	gone          atomic.Bool // its client has ended it
+	late          atomic.Bool // its time to be read from is over
+	head          head        // of the request that comes
 	since         time.Time
 }
 
@@ -58,9 +69,37 @@
 		p.heard.Store(true)
 	}
 	p.head.note(b[:n])
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p.late.Store(true)
+	case err != nil && !errors.Is(err, net.ErrClosed):
+		p.gone.Store(true)
+	}
 	return n, err
 }
 
+func (p *place) Write(b []byte) (int, error) {
+	if !p.answered.Load() {
+		p.answered.Store(true)
+	}
+	return p.Conn.Write(b)
+}
+
+// unheard says why a connection was closed by this node with no answer; false: it was not.
+func (p *place) unheard(stopping bool) (figures.Unheard, bool) {
+	switch {
+	case p.answered.Load() || p.gone.Load():
+		return 0, false
+	case stopping || p.cleared:
+		return figures.Stopping, true
+	case p.leaving:
+		return figures.NoRoom, true
+	case p.late.Load():
+		return figures.SlowHead, true
+	}
+	return figures.Unread, true
+}
+
 // mayGo tells that the connection has rested for long enough to be closed where places are short.
 func (p *place) mayGo(now time.Time) bool {
 	rest := restTime
@@ -145,6 +184,7 @@
 	defer r.mu.Unlock()
 	for p := range r.places {
 		if !p.busy {
+			p.cleared = true
 			_ = p.Conn.Close()
 		}
 	}
@@ -239,6 +279,19 @@
 	return len(r.places) >= r.most/2
 }
 
+// count counts a connection that ends without an answer.
+func (r *Room) count(p *place) {
+	stopping := r.away != nil
+	select {
+	case <-r.closed:
+		stopping = true
+	default:
+	}
+	if why, ok := p.unheard(stopping); ok {
+		r.Figures.ClosedUnheard(why)
+	}
+}
+
 // Note follows the connections' states.
 func (r *Room) Note(c net.Conn, state http.ConnState) {
 	r.mu.Lock()
@@ -247,6 +300,9 @@
 	if !ours {
 		return
 	}
+	if state == http.StateClosed {
+		r.count(p)
+	}
 	if p.leaving && state != http.StateNew {
 		p.leaving = false
 		r.leaving--
--- a/internal/edge/room_test.go
+++ b/internal/edge/room_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"standpoint/internal/figures"
 	"standpoint/internal/testpeer"
 )
 
@@ -36,3 +37,32 @@
 		})
 	}
 }
+
+// A connection that this node closes without an answer is counted by its cause; one that its client ends is not.
+func TestConnectionsClosedUnheard(t *testing.T) {
+	n := testpeer.Start(t, testpeer.Settings())
+	count := func(why figures.Unheard) func() bool {
+		return func() bool { return n.Figures.Unheards(why) >= 1 }
+	}
+	own := n.Dial()
+	require.NoError(t, own.Close())
+	late := n.Dial()
+	_, err := late.Write([]byte("GET /_health HTTP/1.1\r\nHost:"))
+	require.NoError(t, err)
+	require.Eventually(t, count(figures.SlowHead), 10*time.Second, time.Millisecond)
+	n.Room.Resize(1)
+	n.Dial()
+	n.Dial()
+	require.Eventually(t, count(figures.NoRoom), 3*time.Second, time.Millisecond, "%s", n.Figures.Text())
+	n.Room.Resize(300)
+	silent := n.Dial()
+	health, err := http.Get(n.URL + "/_health")
+	require.NoError(t, err)
+	health.Body.Close()
+	n.Room.Clear()
+	_, err = silent.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Eventually(t, count(figures.Stopping), 10*time.Second, time.Millisecond)
+	require.Zero(t, n.Figures.Unheards(figures.Unread))
+	require.Contains(t, string(n.Figures.Text()), "app.closed_unheard.slow_head=1\n")
+}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -22,6 +22,34 @@
 // Words are the names of the ends.
 var Words = [ends]string{"success", "busy", "failure"}
 
+// Unsent is why a request was answered as failed though nothing of it was sent on.
+type Unsent int
+
+const (
+	Malformed Unsent = iota // it says what nobody can mean
+	Repeated                // its id is that of another request
+	SlowBody                // it did not come whole in time
+	GivenUp                 // by the module, before any attempt
+	unsents
+)
+
+// UnsentWords are their names.
+var UnsentWords = [unsents]string{"malformed", "repeated", "slow_body", "given_up"}
+
+// Unheard is why a client's connection on which nothing was ever written was closed by this node.
+type Unheard int
+
+const (
+	NoRoom   Unheard = iota // it rested, or said nothing, while places were short
+	SlowHead                // no whole request came in time
+	Stopping                // the node stops, or is drained
+	Unread                  // what came was no request that may be answered
+	unheards
+)
+
+// UnheardWords are their names.
+var UnheardWords = [unheards]string{"no_room", "slow_head", "stopping", "unread"}
+
 // classesMost bounds the classes that are counted: configurations that are read again may bring new ones for ever.
 const classesMost = 256
 
@@ -43,6 +71,8 @@
 	every          atomic.Pointer[[]*Class] // those of earlier configurations too
 	attempts       atomic.Uint64
 	listed, avoids atomic.Int64
+	unsent         [unsents]atomic.Uint64
+	unheard        [unheards]atomic.Uint64
 }
 
 // New makes figures of these classes, which all stand at 0. open says how many requests are taken and not ended.
@@ -90,6 +120,26 @@
 	}
 }
 
+// FailedUnsent counts a request that is answered as failed and was never sent on.
+func (f *Figures) FailedUnsent(why Unsent) {
+	if f != nil {
+		f.unsent[why].Add(1)
+	}
+}
+
+// ClosedUnheard counts a client's connection that this node closed without an answer.
+func (f *Figures) ClosedUnheard(why Unheard) {
+	if f != nil {
+		f.unheard[why].Add(1)
+	}
+}
+
+// Unsents is how many requests were answered as failed, and never sent on, for this cause.
+func (f *Figures) Unsents(why Unsent) uint64 { return f.unsent[why].Load() }
+
+// Unheards is how many connections were closed without an answer for this cause.
+func (f *Figures) Unheards(why Unheard) uint64 { return f.unheard[why].Load() }
+
 // Servers notes how many real servers are listed, and how many of them the module avoids.
 func (f *Figures) Servers(listed, avoided int) {
 	if f != nil {
@@ -98,6 +148,17 @@
 	}
 }
 
+// Total is how many requests have ended, of all classes.
+func (f *Figures) Total() uint64 {
+	n := uint64(0)
+	for _, c := range f.Classes() {
+		for e := range ends {
+			n += c.Count(e)
+		}
+	}
+	return n
+}
+
 // Classes are all classes that are counted.
 func (f *Figures) Classes() []*Class { return *f.every.Load() }
 
@@ -120,5 +181,11 @@
 	}
 	fmt.Fprintf(&b, "app.backend_calls=%d\napp.inflight=%d\napp.hosts_listed=%d\napp.hosts_down=%d\n",
 		f.Attempts(), f.Open(), f.Listed(), f.Avoided())
+	for i, word := range UnsentWords {
+		fmt.Fprintf(&b, "app.failed_unsent.%s=%d\n", word, f.Unsents(Unsent(i)))
+	}
+	for i, word := range UnheardWords {
+		fmt.Fprintf(&b, "app.closed_unheard.%s=%d\n", word, f.Unheards(Unheard(i)))
+	}
 	return b.Bytes()
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -232,6 +232,9 @@
 	case a.Kind == Served:
 		c.Figures.Ended(f.Request.Class, figures.Success)
 	case a.Kind != ClientGone && a.Kind != Moved: // one that moved ends, and is counted, elsewhere
+		if a.Unsent {
+			c.Figures.FailedUnsent(figures.GivenUp)
+		}
 		c.Figures.Ended(f.Request.Class, figures.Failure)
 	}
 }
@@ -413,6 +416,7 @@
 			answer = Answer{Kind: TurnedDown, Wait: time.Duration(a.Wait)}
 		}
 		if f := c.flows[a.Request]; f != nil {
+			answer.Unsent = len(f.attempts) == 0
 			// At once; one that an attempt claimed a moment ago goes on with its stream.
 			if f.settle(answer) && c.Pools != nil {
 				c.Pools.Refused(&f.Request)
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -36,11 +36,12 @@
 )
 
 // Answer is a flow's one final answer. Wait, if not 0, is when a client turned down should come back; Status is the
-// real server's, of one rejected.
+// real server's, of one rejected. Unsent tells that no attempt was ever made.
 type Answer struct {
 	Kind   AnswerKind
 	Wait   time.Duration
 	Status int
+	Unsent bool
 }
 
 // Reasons for which an attempt is given up; the last two may come after its first event.
--- a/internal/realserver/story_test.go
+++ b/internal/realserver/story_test.go
@@ -1,6 +1,7 @@
 package realserver_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -252,3 +253,24 @@
 		require.Equal(t, http.StatusOK, status)
 	})
 }
+
+// A second answer that comes some milliseconds behind the first, on its own, is nobody's: the next request, which may be there
+// before it, gets its own answer.
+func TestASecondAnswerThatComesLate(t *testing.T) {
+	answered := make(chan struct{}, 10)
+	var count atomic.Int64
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.RawServer(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, testpeer.Answer(fmt.Sprintf("own %d", count.Add(1))))
+		answered <- struct{}{}
+		time.Sleep(15 * time.Millisecond)
+		_, _ = io.WriteString(c, testpeer.Answer("nobody's"))
+	})))
+	for i := range 5 {
+		status, _, body, err := n.Do(n.Chat(t.Context(), nil))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Contains(t, body, fmt.Sprintf("own %d", i+1))
+		require.NotContains(t, body, "nobody's")
+		<-answered
+	}
+}
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -82,10 +82,13 @@
 	require.NoError(t, err)
 	n.Address, n.URL = listener.Addr().String(), "http://"+listener.Addr().String()
 	n.Room = edge.NewRoom(listener, 300, log)
+	n.Room.Figures = n.Figures
 	n.Bodies = node.NewShares(8<<20, 1)
 	n.Server = edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Figures: n.Figures, Log: log}).Handler(), n.Room, log)
 	go func() { _ = n.Server.Serve(n.Room) }()
 	t.Cleanup(func() {
+		// In no story does a node fail requests that it never sent on, or close unheard, beyond one in 200, unless it stops.
+		require.LessOrEqual(t, 200*n.Figures.Unsents(figures.GivenUp), n.Figures.Total())
 		n.Server.Close()
 		cancel()
 	})
--- a/router.go
+++ b/router.go
@@ -34,6 +34,7 @@
 	cutMost      = 0.8       // never refuse more
 	cutDown      = 4.0       // aims met that undo one missed
 	cutFade      = 0.15      // fall of the refused part in a second
+	starveMost   = 0.5       // part of a class's, or a tenant's, requests that may be refused for others
 	comeLeast    = 0.3       // seconds after which a refused client may come again at the earliest
 	cutSpeed     = 0.7       // log slowness from which an engine's misses are its own
 	reserve      = 0.5       // share of an aim that must be left for headroom to count
@@ -89,8 +90,8 @@
 	r := &Router{set: settings, rng: rand.New(rand.NewPCG(uint64(seed), sessionSalt)), lost: map[int]int{},
 		engines: map[string]*engine{}, open: map[int64]*request{}, retries: retryBurst, trust: 1,
 		tenants: make([]tenantRate, len(settings.Tenants)),
-		gain:    make([]float64, len(settings.Classes)+1),
-		ttft:    make([]model, settings.Kinds+1), pace: make([]model, settings.Kinds+1),
+		gain:    make([]float64, len(settings.Classes)+1), cuts: make([]float64, len(settings.Classes)+1),
+		ttft: make([]model, settings.Kinds+1), pace: make([]model, settings.Kinds+1),
 		gaps: make([]mean, len(settings.Classes)+1), gap: gapStart}
 	if aim := r.leastPace(); aim > 0 {
 		r.gap = gapShare * aim
@@ -230,12 +231,10 @@
 // tenantWorth is what a request counts, as a part of its worth, while its tenant sends more than its
 // quota. This gateway takes itself for a typical one, and allows for chance, since it sees few requests.
 func (r *Router) tenantWorth(q *request) float64 {
-	if q.Tenant < 0 || q.Tenant >= len(r.tenants) || r.set.Tenants[q.Tenant].QuotaRPS <= 0 {
-		return 1
+	if q.Tenant >= 0 && q.Tenant < len(r.tenants) {
+		r.tenants[q.Tenant].count(r.now)
 	}
-	t := &r.tenants[q.Tenant]
-	t.count(r.now)
-	over := t.rate * float64(r.set.Balancers) / r.set.Tenants[q.Tenant].QuotaRPS
+	over := r.over(q)
 	if over < overQuota {
 		return 1
 	}
@@ -247,7 +246,8 @@
 	d := r.density(q)
 	below, n := r.note(d)
 	r.cut, r.cutAt = max(0, r.cut-cutFade*seconds(r.now-r.cutAt)), r.now
-	return n >= 8 && r.cut > 0 && float64(below) < r.cut*float64(n)
+	poor := n >= 8 && r.cut > 0 && float64(below) < r.cut*float64(n)
+	return r.noteCut(q, poor && r.cutOf(q) < starveMost)
 }
 
 // pressed moves the part that is refused: up with each aim missed, down with each one met.
@@ -272,11 +272,10 @@
 		return
 	}
 	best := r.pick(q)
-	if best == nil && q.outstanding() == 0 && !q.held {
-		q.held = true
-		r.held = append(r.held, q)
-	}
 	if best == nil {
+		if q.outstanding() == 0 && !q.held {
+			q.held, r.held = true, append(r.held, q)
+		}
 		return
 	}
 	if aim := seconds(r.class(q).TPOTAim); aim > 0 && len(q.attempts) == 0 {
@@ -289,8 +288,7 @@
 	e := o.e
 	a := &attempt{q: q, leg: len(q.attempts), e: e, sent: r.now, x: o.x, ttft: o.ttft, match: o.match,
 		home: o.home, out: true, ran: true}
-	q.attempts = append(q.attempts, a)
-	q.held = false
+	q.attempts, q.held = append(q.attempts, a), false
 	e.out++
 	e.tokens += q.PromptTokens
 	e.sentTokens = r.sentUnread(e) + q.PromptTokens*(1-o.match)
--- a/state.go
+++ b/state.go
@@ -116,7 +116,8 @@
 	gap        float64   // token gap at a load factor of 1, seconds: the pace of answers that run to their limit
 	lately     []float64 // densities of the latest requests
 	latelyAt   int
-	cut        float64 // part of the requests, the poorest, that is refused
+	cuts       []float64 // by class: share of its latest requests that were refused so
+	cut        float64   // part of the requests, the poorest, that is refused
 	cutAt      int64
 }
 
@@ -324,7 +325,7 @@
 func (r *Router) Adjust(settings Settings) {
 	blank := New(settings, 0)
 	if len(blank.gain) != len(r.gain) {
-		r.gain, r.gaps = blank.gain, blank.gaps
+		r.gain, r.gaps, r.cuts = blank.gain, blank.gaps, blank.cuts
 	}
 	if len(blank.ttft) != len(r.ttft) {
 		r.ttft, r.pace = blank.ttft, blank.pace
@@ -448,6 +449,7 @@
 	rate float64
 	at   int64
 	sour float64 // share of errors among its latest answers, from all engines
+	cut  float64 // share of its latest requests that were refused as the poorest
 }
 
 // count takes in a request of the tenant.
@@ -488,6 +490,40 @@
 	return below, all
 }
 
+// over is what the request's tenant sends, in times its quota, as this gateway takes it; 0 where it has none.
+func (r *Router) over(q *request) float64 {
+	if q.Tenant < 0 || q.Tenant >= len(r.tenants) || !(r.set.Tenants[q.Tenant].QuotaRPS > 0) {
+		return 0
+	}
+	return r.tenants[q.Tenant].rate * float64(r.set.Balancers) / r.set.Tenants[q.Tenant].QuotaRPS
+}
+
+// cutRate is that of a request in the shares refused.
+const cutRate = 0.05
+
+// cutOf is the larger of the shares refused, of the request's class and of its tenant: 0 of what is beyond its quota.
+func (r *Router) cutOf(q *request) float64 {
+	if r.over(q) >= overQuota {
+		return 0
+	}
+	return max(r.cuts[r.classIndex(q)], r.tenant(q).cut)
+}
+
+// noteCut takes in whether a request was refused as one of the poorest.
+func (r *Router) noteCut(q *request, refused bool) bool {
+	if r.over(q) >= overQuota {
+		return refused
+	}
+	x := 0.0
+	if refused {
+		x = 1
+	}
+	class, tenant := &r.cuts[r.classIndex(q)], &r.tenant(q).cut
+	*class += cutRate * (x - *class)
+	*tenant += cutRate * (x - *tenant)
+	return refused
+}
+
 // attempt is one of a request's, and the request; nil where there is none such.
 func (r *Router) attempt(id int64, leg int) (*request, *attempt) {
 	q := r.open[id]
