--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -7,7 +7,7 @@
 	"os/signal"
 	"syscall"
 
-	"standpoint/internal/labcli"
+	"standpoint/internal/lab/labcli"
 )
 
 func main() {
--- a/internal/cli/discovery_test.go
+++ b/internal/cli/discovery_test.go
@@ -20,7 +20,7 @@
 	"go.uber.org/zap"
 
 	"standpoint/internal/daemon"
-	"standpoint/internal/responder"
+	"standpoint/internal/lab/responder"
 	"standpoint/internal/testpeer"
 )
 
--- a/internal/cli/entries.go
+++ b/internal/cli/entries.go
@@ -9,9 +9,9 @@
 
 	"github.com/spf13/cobra"
 
-	"standpoint/internal/dnssd"
 	"standpoint/internal/entries"
-	"standpoint/internal/lookup"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/find/lookup"
 )
 
 func (o *options) entriesCommand() *cobra.Command {
--- a/internal/daemon/entriesparts.go
+++ b/internal/daemon/entriesparts.go
@@ -20,9 +20,9 @@
 
 	"standpoint/internal/config"
 	"standpoint/internal/control"
-	"standpoint/internal/discovery"
-	"standpoint/internal/dnssd"
 	"standpoint/internal/entries"
+	"standpoint/internal/find/discovery"
+	"standpoint/internal/find/dnssd"
 	"standpoint/internal/node"
 	"standpoint/internal/peers"
 )
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"standpoint"
-	"standpoint/internal/discovery"
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/discovery"
+	"standpoint/internal/find/dnssd"
 	"standpoint/internal/node"
 )
 
--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -15,10 +15,10 @@
 	"pgregory.net/rapid"
 
 	"standpoint"
-	"standpoint/internal/discovery"
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/discovery"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/lab/responder"
 	"standpoint/internal/node"
-	"standpoint/internal/responder"
 	"standpoint/internal/store"
 )
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/find/discovery/discovery_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"standpoint/internal/dnssd"
-	"standpoint/internal/responder"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/lab/responder"
 )
 
 const service = "_engine._tcp"
--- a/internal/discovery/finder.go
+++ b/internal/find/discovery/finder.go
@@ -1,6 +1,6 @@
 // Package discovery finds the instances of a DNS-SD service by every way that the specifications give: it asks
 // (unicast look-ups, cheap while nothing changes), it is told (DNS Push Notifications, RFC 8765), or it speaks mDNS
-// (RFC 6762) over a transport that is given to it. What records mean is decided in internal/dnssd.
+// (RFC 6762) over a transport that is given to it. What records mean is decided in internal/find/dnssd.
 package discovery
 
 import (
@@ -13,8 +13,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
-	"standpoint/internal/dnssd"
-	"standpoint/internal/lookup"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/find/lookup"
 )
 
 // Way is how news comes.
--- a/internal/discovery/multicast.go
+++ b/internal/find/discovery/multicast.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/miekg/dns"
-	"standpoint/internal/mdns"
+	"standpoint/internal/find/mdns"
 )
 
 // Transport carries mDNS messages. What this package has is Unicast; multicast is nobody's here.
--- a/internal/discovery/poll.go
+++ b/internal/find/discovery/poll.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"standpoint/internal/dnssd"
-	"standpoint/internal/lookup"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/find/lookup"
 )
 
 const (
--- a/internal/discovery/push.go
+++ b/internal/find/discovery/push.go
@@ -16,8 +16,8 @@
 	"github.com/miekg/dns"
 	"go.uber.org/zap"
 
-	"standpoint/internal/dnssd"
-	"standpoint/internal/dso"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/find/dso"
 )
 
 // noPush says that the server offers no push session; retryLater that it wants to be left alone for a while.
--- a/internal/dso/dso.go
+++ b/internal/find/dso/dso.go
@@ -10,7 +10,7 @@
 
 	"github.com/miekg/dns"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 // Type of a TLV.
--- a/internal/dso/dso_test.go
+++ b/internal/find/dso/dso_test.go
@@ -7,7 +7,7 @@
 	"github.com/miekg/dns"
 	"github.com/stretchr/testify/require"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 // What is written is read again as it was meant.
--- a/internal/lookup/fuzz_test.go
+++ b/internal/find/lookup/fuzz_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/miekg/dns"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 // Whatever a DNS server answers, what is put together of it is an instance or says its fault, and is bounded.
--- a/internal/lookup/lookup_test.go
+++ b/internal/find/lookup/lookup_test.go
@@ -7,7 +7,7 @@
 	"github.com/miekg/dns"
 	"github.com/stretchr/testify/require"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 // Answers from another source, with the right id and name, and ones with another kind of record, are passed over: the
--- a/internal/mdns/mdns.go
+++ b/internal/find/mdns/mdns.go
@@ -9,7 +9,7 @@
 
 	"github.com/miekg/dns"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 // Times of the querier.
--- a/internal/mdns/mdns_test.go
+++ b/internal/find/mdns/mdns_test.go
@@ -10,7 +10,7 @@
 	"github.com/miekg/dns"
 	"github.com/stretchr/testify/require"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 var service = dnssd.Service{Type: "_engine._tcp", Domain: "local"}
--- a/internal/lab/baseline.go
+++ b/internal/lab/baseline.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"standpoint"
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 )
 
 // Policy is what decides at a node: the module, or one that it is measured against.
--- a/internal/boxes/fleet.go
+++ b/internal/lab/boxes/fleet.go
@@ -9,7 +9,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 )
 
 // Fleet is a file of emulated boxes and of what happens to them.
--- a/internal/boxes/groups.go
+++ b/internal/lab/boxes/groups.go
@@ -7,7 +7,7 @@
 	"net"
 	"strconv"
 
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 )
 
 // Range is a figure, or the bounds that it is drawn from.
--- a/internal/boxes/server.go
+++ b/internal/lab/boxes/server.go
@@ -18,7 +18,7 @@
 	"sync"
 	"time"
 
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 )
 
 const (
--- a/internal/boxes/story_test.go
+++ b/internal/lab/boxes/story_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 )
 
 var figures = box.Figures{Slots: 4, Queue: 1, Memory: 20_000, Chunk: 1000, Step: 0.002, ReadPerS: 100_000, ColdShare: 0.2, WarmUp: 5}
--- a/internal/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"standpoint/internal/lab"
-	"standpoint/internal/load"
+	"standpoint/internal/lab/load"
 )
 
 const small = `name = "small"
--- a/internal/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -11,7 +11,7 @@
 	"github.com/BurntSushi/toml"
 
 	"standpoint/internal/lab"
-	"standpoint/internal/load"
+	"standpoint/internal/lab/load"
 )
 
 // World is what is tried: the keys that a variant may set otherwise.
--- a/internal/experiment/sockets.go
+++ b/internal/lab/experiment/sockets.go
@@ -18,10 +18,10 @@
 	"syscall"
 	"time"
 
-	"standpoint/internal/boxes"
 	"standpoint/internal/lab"
-	"standpoint/internal/load"
-	"standpoint/internal/stage"
+	"standpoint/internal/lab/boxes"
+	"standpoint/internal/lab/load"
+	"standpoint/internal/lab/stage"
 )
 
 // Bounds of an experiment on sockets.
--- a/internal/lab/fresh.go
+++ b/internal/lab/fresh.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"standpoint"
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 	"standpoint/internal/node"
 )
 
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"standpoint"
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 	"standpoint/internal/node"
 	"standpoint/internal/pool"
 )
--- a/internal/labcli/boxes.go
+++ b/internal/lab/labcli/boxes.go
@@ -12,9 +12,9 @@
 
 	"github.com/spf13/cobra"
 
-	"standpoint/internal/boxes"
-	"standpoint/internal/responder"
-	"standpoint/internal/stage"
+	"standpoint/internal/lab/boxes"
+	"standpoint/internal/lab/responder"
+	"standpoint/internal/lab/stage"
 )
 
 func boxesCommand(errs io.Writer) *cobra.Command {
--- a/internal/labcli/dns.go
+++ b/internal/lab/labcli/dns.go
@@ -9,8 +9,8 @@
 	"github.com/spf13/cobra"
 
 	"standpoint/internal/lab"
-	"standpoint/internal/responder"
-	"standpoint/internal/stage"
+	"standpoint/internal/lab/responder"
+	"standpoint/internal/lab/stage"
 )
 
 func dnsCommand(errs io.Writer) *cobra.Command {
--- a/internal/labcli/load.go
+++ b/internal/lab/labcli/load.go
@@ -15,7 +15,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
-	"standpoint/internal/load"
+	"standpoint/internal/lab/load"
 )
 
 func loadCommand(out, errs io.Writer) *cobra.Command {
--- a/internal/labcli/run.go
+++ b/internal/lab/labcli/run.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
-	"standpoint/internal/experiment"
-	"standpoint/internal/load"
+	"standpoint/internal/lab/experiment"
+	"standpoint/internal/lab/load"
 )
 
 func runCommand(out, errs io.Writer) *cobra.Command {
--- a/internal/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -7,9 +7,9 @@
 
 	"github.com/spf13/cobra"
 
-	"standpoint/internal/experiment"
 	"standpoint/internal/lab"
-	"standpoint/internal/load"
+	"standpoint/internal/lab/experiment"
+	"standpoint/internal/lab/load"
 )
 
 func scaleCommand(out, errs io.Writer) *cobra.Command {
--- a/internal/responder/mdns.go
+++ b/internal/lab/responder/mdns.go
@@ -7,7 +7,7 @@
 
 	"github.com/miekg/dns"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 const (
--- a/internal/responder/server.go
+++ b/internal/lab/responder/server.go
@@ -14,8 +14,8 @@
 
 	"github.com/miekg/dns"
 
-	"standpoint/internal/dnssd"
-	"standpoint/internal/dso"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/find/dso"
 )
 
 // Faults are what goes wrong. Parts are from 0 to 1.
--- a/internal/responder/zone.go
+++ b/internal/lab/responder/zone.go
@@ -12,7 +12,7 @@
 
 	"github.com/miekg/dns"
 
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/dnssd"
 )
 
 const (
--- a/internal/stage/discovery.go
+++ b/internal/lab/stage/discovery.go
@@ -19,7 +19,7 @@
 
 	"standpoint/internal/control"
 	"standpoint/internal/entries"
-	"standpoint/internal/responder"
+	"standpoint/internal/lab/responder"
 )
 
 // DiscoveryOptions of a measurement of discovery with the daemon as a program.
--- a/internal/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -20,9 +20,9 @@
 	"sync"
 	"time"
 
-	"standpoint/internal/boxes"
 	"standpoint/internal/control"
 	"standpoint/internal/lab"
+	"standpoint/internal/lab/boxes"
 	"standpoint/internal/mover"
 	"standpoint/internal/moves"
 )
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"standpoint"
-	"standpoint/internal/box"
+	"standpoint/internal/lab/box"
 )
 
 // Happening is something that befalls some of a world's boxes at a time.
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"standpoint"
-	"standpoint/internal/box"
 	"standpoint/internal/config"
+	"standpoint/internal/lab/box"
 	"standpoint/internal/mover"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,8 +14,8 @@
 	"github.com/miekg/dns"
 	"go.uber.org/zap"
 
-	"standpoint/internal/discovery"
-	"standpoint/internal/dnssd"
+	"standpoint/internal/find/discovery"
+	"standpoint/internal/find/dnssd"
 )
 
 // Options of the actor.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
-	"standpoint/internal/discovery"
-	"standpoint/internal/dnssd"
-	"standpoint/internal/responder"
+	"standpoint/internal/find/discovery"
+	"standpoint/internal/find/dnssd"
+	"standpoint/internal/lab/responder"
 )
 
 const second = int64(time.Second)
