--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -168,6 +168,6 @@
 		_, err := read(t, strings.Replace(small, c.from, c.to, 1))
 		require.ErrorContains(t, err, c.key)
 	}
-	_, err := Read("../../deploy/lab/policies.toml")
+	_, err := Read("../../../deploy/lab/policies.toml")
 	require.NoError(t, err)
 }
--- a/internal/lab/responder/file_test.go
+++ b/internal/lab/responder/file_test.go
@@ -11,7 +11,7 @@
 
 // The example file starts, and its deeds do what they say; what is wrong with a file is named.
 func TestFile(t *testing.T) {
-	const example = "../../deploy/lab/hall-a.toml"
+	const example = "../../../deploy/lab/hall-a.toml"
 	raw, err := os.ReadFile(example)
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "zone.toml")
