--- a/api.go
+++ b/api.go
@@ -209,6 +209,17 @@
 	Report  *Report
 }
 
+// Doubt is that other gateways' evidence speaks against an engine's process. At is the latest of it: a sign of life since then
+// outweighs it.
+type Doubt struct {
+	Engine  string
+	ReadyAt int64
+	At      int64
+}
+
+// Advice is what the gateways have seen of the engines together, for this one to weigh.
+type Advice struct{ Doubts []Doubt }
+
 // PeerMessage is what another gateway of the tier sent.
 type PeerMessage struct {
 	From int
@@ -225,6 +236,7 @@
 func (*Left) event()        {}
 func (*Probed) event()      {}
 func (*PeerMessage) event() {}
+func (*Advice) event()      {}
 func (*TimerFired) event()  {}
 
 // ActionKind names what is to be done.
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"standpoint/internal/fleet/rights"
+)
+
+// FleetSeat is a place in the fleet: a node's name, where this node reaches it, and its weight in what is shared.
+type FleetSeat struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+	Zone    string `toml:"zone"`
+	Weight  int64  `toml:"weight"`
+}
+
+// FleetBudget is what the fleet may spend of something in each window.
+type FleetBudget struct {
+	Kind      string   `toml:"kind"`   // tokens, of a tenant, or attempts: further ones, of all requests
+	Tenant    string   `toml:"tenant"` // of tokens
+	Amount    int64    `toml:"amount"`
+	Overdraft int64    `toml:"overdraft"`
+	Window    Duration `toml:"window"`
+	Loan      int      `toml:"loan"` // windows for which nodes lend to each other at the most
+}
+
+// Fleet is what nodes share; without a listener there is none.
+type Fleet struct {
+	Listen      string        `toml:"listen"` // UDP and TCP, between nodes
+	Dir         string        `toml:"dir"`
+	Strict      bool          `toml:"strict"` // an invariant that does not hold ends the program
+	ClockError  Duration      `toml:"clock_error"`
+	ClockOffset Duration      `toml:"clock_offset"` // for tests: that this node's clock is off by
+	Silence     Duration      `toml:"silence"`
+	Join        Duration      `toml:"join"`
+	Settle      Duration      `toml:"settle"`
+	Heal        Duration      `toml:"heal"`
+	Beat        Duration      `toml:"beat"`
+	Ask         Duration      `toml:"ask"`
+	Peers       int           `toml:"peers"`
+	Lease       Duration      `toml:"lease"`
+	Seats       []FleetSeat   `toml:"seat"`
+	Budgets     []FleetBudget `toml:"budget"`
+	Evidence    struct {
+		Sources int      `toml:"sources"`
+		Lasts   Duration `toml:"lasts"`
+		Own     Duration `toml:"own"`
+		Most    float64  `toml:"most"`
+		Many    float64  `toml:"many"`
+	} `toml:"evidence"`
+}
+
+func (f *Fleet) complete() {
+	or(&f.Dir, "fleet")
+	or(&f.ClockError, Duration(500*time.Millisecond))
+	or(&f.Silence, Duration(3*time.Second))
+	or(&f.Join, Duration(5*time.Second))
+	or(&f.Settle, Duration(time.Second))
+	or(&f.Heal, Duration(time.Second))
+	or(&f.Beat, Duration(250*time.Millisecond))
+	or(&f.Ask, Duration(100*time.Millisecond))
+	or(&f.Peers, 2)
+	or(&f.Lease, Duration(10*time.Minute))
+	or(&f.Evidence.Sources, 2)
+	or(&f.Evidence.Lasts, Duration(5*time.Second))
+	or(&f.Evidence.Own, Duration(2*time.Second))
+	or(&f.Evidence.Most, 0.5)
+	or(&f.Evidence.Many, 0.34)
+	for i := range f.Seats {
+		or(&f.Seats[i].Weight, 1)
+	}
+	for i := range f.Budgets {
+		or(&f.Budgets[i].Loan, 4)
+		or(&f.Budgets[i].Window, Duration(time.Second))
+		or(&f.Budgets[i].Kind, "tokens")
+	}
+}
+
+// Rights are the budgets as the deciders take them.
+func (f *Fleet) Rights() ([]*rights.Budget, error) {
+	var all []*rights.Budget
+	for i, b := range f.Budgets {
+		r := &rights.Budget{Name: b.Kind + "/" + b.Tenant, Amount: b.Amount, Overdraft: b.Overdraft, Window: time.Duration(b.Window), Loan: b.Loan}
+		for _, s := range f.Seats {
+			r.Weights = append(r.Weights, s.Weight)
+		}
+		if err := r.Complete(); err != nil {
+			return nil, fmt.Errorf("fleet.budget[%d].%w", i, err)
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+func (o *Operator) checkFleet() error {
+	f := &o.Fleet
+	if f.Listen == "" {
+		if len(f.Seats) > 0 || len(f.Budgets) > 0 {
+			return errors.New("fleet.listen: missing; without it nothing is shared")
+		}
+		return nil
+	}
+	f.complete()
+	if err := loopback("fleet.listen", f.Listen); err != nil {
+		return err
+	}
+	for _, span := range []struct {
+		key         string
+		is          Duration
+		least, most time.Duration
+	}{{"clock_error", f.ClockError, time.Millisecond, time.Minute}, {"silence", f.Silence, 100 * time.Millisecond, time.Hour}, {"join", f.Join, 0, time.Hour},
+		{"settle", f.Settle, 0, time.Hour}, {"heal", f.Heal, 0, time.Hour}, {"beat", f.Beat, 20 * time.Millisecond, time.Minute}, {"ask", f.Ask, 10 * time.Millisecond, time.Minute},
+		{"lease", f.Lease, time.Second, 366 * 24 * time.Hour}, {"evidence.lasts", f.Evidence.Lasts, 100 * time.Millisecond, time.Hour}, {"evidence.own", f.Evidence.Own, 0, time.Hour}} {
+		if is := time.Duration(span.is); is < span.least || is > span.most {
+			return fmt.Errorf("fleet.%s: %v is not from %v to %v", span.key, is, span.least, span.most)
+		}
+	}
+	if f.Peers < 1 || f.Peers > 8 {
+		return fmt.Errorf("fleet.peers: %d is not from 1 to 8", f.Peers)
+	}
+	if e := f.Evidence; e.Sources < 1 || !(e.Most >= 0 && e.Most <= 1) || !(e.Many > 0 && e.Many <= 1) {
+		return fmt.Errorf("fleet.evidence: sources %d, most %g, many %g: at least one source, and shares from 0 to 1", e.Sources, e.Most, e.Many)
+	}
+	names := map[string]bool{}
+	for i, s := range f.Seats {
+		if s.Name == "" || names[s.Name] {
+			return fmt.Errorf("fleet.seat[%d].name: %q is missing, or there twice", i, s.Name)
+		}
+		names[s.Name] = true
+		if err := loopback(fmt.Sprintf("fleet.seat[%d].address", i), s.Address); err != nil {
+			return err
+		}
+		if s.Zone != "" && !slices.Contains(o.Module.Zones, s.Zone) {
+			return fmt.Errorf("fleet.seat[%d].zone: %q is not among module.zones", i, s.Zone)
+		}
+	}
+	if !names[o.Name] {
+		return fmt.Errorf("name: %q is no fleet.seat", o.Name)
+	}
+	if o.Store.Kind == "raft" && o.Store.ID != o.Name {
+		return fmt.Errorf("store.id: %q is not the node's name, %q, by which the fleet calls its leader", o.Store.ID, o.Name)
+	}
+	if len(f.Seats) > 1 && o.Store.Kind != "raft" {
+		return errors.New("store.kind: seats of a fleet are given by a replicated store, \"raft\"")
+	}
+	if len(f.Budgets) > 64 {
+		return errors.New("fleet.budget: more than 64")
+	}
+	seen := map[string]bool{}
+	for i, b := range f.Budgets {
+		switch {
+		case b.Kind != "tokens" && b.Kind != "attempts":
+			return fmt.Errorf("fleet.budget[%d].kind: %q is neither \"tokens\" nor \"attempts\"", i, b.Kind)
+		case b.Kind == "tokens" && !slices.ContainsFunc(o.Tenants, func(t Tenant) bool { return t.Name == b.Tenant }):
+			return fmt.Errorf("fleet.budget[%d].tenant: %q is no tenant of this file", i, b.Tenant)
+		case b.Kind == "attempts" && b.Tenant != "":
+			return fmt.Errorf("fleet.budget[%d].tenant: further attempts are no tenant's", i)
+		case seen[b.Kind+"/"+b.Tenant]:
+			return fmt.Errorf("fleet.budget[%d]: there is one of these already", i)
+		}
+		seen[b.Kind+"/"+b.Tenant] = true
+	}
+	_, err := f.Rights()
+	return err
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -148,6 +148,7 @@
 	Address string `toml:"address"`
 	Front   string `toml:"front"`
 	Control string `toml:"control"` // its control interface; needed where pools are moved
+	Reach   string `toml:"reach"`   // where this node reaches it, if not at its address
 }
 
 // Operator is an operator's file.
@@ -235,6 +236,9 @@
 		Settings bool `toml:"settings"`
 	} `toml:"store"`
 
+	// Fleet is what this node shares with others; without its section it is off.
+	Fleet Fleet `toml:"fleet"`
+
 	// What follows is worked out from the keys above.
 	Settings standpoint.Settings `toml:"-"`
 	Names    Names               `toml:"-"`
@@ -339,6 +343,7 @@
 		{"batch_server", o.BatchServer, next.BatchServer},
 		{"store", o.Store, next.Store},
 		{"control", o.Control, next.Control},
+		{"fleet", o.Fleet, next.Fleet},
 		{"module.zones", o.Names.Zones, next.Names.Zones},
 		{"module.kinds", o.Names.Kinds, next.Names.Kinds},
 	} {
@@ -403,7 +408,7 @@
 		return err
 	}
 	for _, check := range []func() error{o.checkAddresses, o.checkClasses, o.checkEntries, o.checkBatch, o.checkStore,
-		o.checkLog, o.checkControl, o.checkPools, o.checkMetrics, o.checkPeers} {
+		o.checkLog, o.checkControl, o.checkPools, o.checkMetrics, o.checkPeers, o.checkFleet} {
 		if err := check(); err != nil {
 			return err
 		}
@@ -560,6 +565,11 @@
 		if err := loopback(fmt.Sprintf("store.member[%d].address", i), m.Address); err != nil {
 			return err
 		}
+		if m.Reach != "" {
+			if err := loopback(fmt.Sprintf("store.member[%d].reach", i), m.Reach); err != nil {
+				return err
+			}
+		}
 		if m.Control != "" {
 			if err := loopback(fmt.Sprintf("store.member[%d].control", i), m.Control); err != nil {
 				return err
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -19,6 +19,7 @@
 	"standpoint/internal/entries"
 	"standpoint/internal/figures"
 	"standpoint/internal/find/discovery"
+	"standpoint/internal/fleet"
 	"standpoint/internal/handover"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
@@ -63,7 +64,8 @@
 	life       *node.Life
 	keys       store.Store
 	fleet      *realserver.Fleet
-	pools      node.Pools // nil: none
+	pools      node.Pools   // nil: none
+	shared     *fleet.Fleet // nil: this node shares nothing
 	tracker    *moves.Tracker
 	mover      *moves.Actor
 	calls      []control.Call // of the control interface
@@ -112,7 +114,7 @@
 var platformParts = []constructor{consolePart, companyPart, memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
 
 // operatorParts is the daemon as an operator's file says.
-var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, operatorEntriesPart, corePart, peersPart,
+var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, sharedPart, operatorEntriesPart, corePart, peersPart,
 	edgePart, batchPart, agreePart, settingsPart, controlPart, metricsPart}
 
 // assemble runs a table of constructors. On a failure what was opened is closed again.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -38,7 +38,7 @@
 		o.Dir = a.operator.Path(a.base, o.Dir)
 	}
 	for _, m := range s.Members {
-		o.Members = append(o.Members, store.Member{ID: m.ID, Address: m.Address})
+		o.Members = append(o.Members, store.Member{ID: m.ID, Address: m.Address, Reach: m.Reach})
 		if m.ID == s.ID {
 			o.Listen = m.Address
 		}
@@ -110,8 +110,12 @@
 
 func corePart(a *assembly) (part, error) {
 	settings, _, seed := a.told()
-	a.core = node.New(node.Options{Settings: settings, Seed: seed, MaxFlows: a.limits.Flows(), Servers: a.fleet,
-		Entries: a.source, Pools: a.pools, Figures: a.figures, Log: a.log})
+	o := node.Options{Settings: settings, Seed: seed, MaxFlows: a.limits.Flows(), Servers: a.fleet,
+		Entries: a.source, Pools: a.pools, Figures: a.figures, Log: a.log}
+	if a.shared != nil {
+		o.Fleet = a.shared
+	}
+	a.core = node.New(o)
 	a.inForce = a.deployment
 	return part{name: "core", run: a.core.Run, reload: func(next deployment) { a.adjust(&next) }}, nil
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -57,6 +57,29 @@
 	Refused(r *standpoint.Request)
 }
 
+// Fleet is what the nodes of an installation share, as the core needs it. Admit and Settle are called by whoever serves a
+// flow, the others by the module's actor; none may wait for a peer.
+type Fleet interface {
+	// Admit takes what a request may cost at the most from the budgets that it counts against. False: there is not enough, and
+	// the client should come back after the wait.
+	Admit(r *standpoint.Request) (Charge, time.Duration, bool)
+	// Settle tells what became of a request that was admitted.
+	Settle(r *standpoint.Request, c Charge, a Answer)
+	// Again tells whether a further attempt may be made.
+	Again() bool
+	// Ended tells how an attempt ended.
+	Ended(o Observation)
+	// Listed tells of the entries as the module has them now.
+	Listed(l List)
+}
+
+// Charge is what a request was admitted for: an amount of a budget in one of its windows. Budget -1: it counts against none.
+type Charge struct {
+	Budget int
+	Window int64
+	Amount int64
+}
+
 // Observation is the end of an attempt as the core saw it.
 type Observation struct {
 	Request *standpoint.Request
@@ -93,6 +116,7 @@
 	Servers  RealServers
 	Entries  Entries
 	Pools    Pools            // nil: none
+	Fleet    Fleet            // nil: this node shares nothing
 	Figures  *figures.Figures // nil: none
 	Log      *zap.Logger
 }
@@ -119,6 +143,7 @@
 type (
 	adjusted struct{ settings standpoint.Settings }
 	adopted  struct{ f *Flow }
+	advised  struct{ a *standpoint.Advice }
 	learned  struct{ to chan<- *standpoint.Learned }
 	recalled struct {
 		l    *standpoint.Learned
@@ -182,6 +207,9 @@
 	c.post(adjusted{settings})
 }
 
+// Advise has the module weigh what other nodes have seen of the real servers.
+func (c *Core) Advise(a *standpoint.Advice) { c.post(advised{a}) }
+
 // Learned is a copy of what the module has learned; nil if it is not to be had before ctx ends.
 func (c *Core) Learned(ctx context.Context) *standpoint.Learned {
 	to := make(chan *standpoint.Learned, 1)
@@ -267,16 +295,30 @@
 		return Answer{}, ErrBusy
 	}
 	defer c.places.Give(f.Request.Tenant, 1)
+	if c.Fleet == nil {
+		return c.carry(ctx, f), nil
+	}
+	charge, wait, ok := c.Fleet.Admit(&f.Request)
+	if !ok {
+		return Answer{Kind: TurnedDown, Wait: wait, Unsent: true}, nil
+	}
+	a := c.carry(ctx, f)
+	c.Fleet.Settle(&f.Request, charge, a)
+	return a, nil
+}
+
+// carry has the module's actor take the flow, and waits for its answer.
+func (c *Core) carry(ctx context.Context, f *Flow) Answer {
 	c.post(taken{f})
 	select {
 	case a := <-f.done:
-		return a, nil
+		return a
 	case <-ctx.Done():
 	}
 	if f.leave() {
 		c.post(left{f})
 	}
-	return <-f.done, nil
+	return <-f.done
 }
 
 // Run works the mailbox and the timers until ctx ends.
@@ -318,6 +360,9 @@
 			}
 			c.Pools.Listed(m)
 		}
+		if c.Fleet != nil {
+			c.Fleet.Listed(m)
+		}
 		news := &standpoint.EngineList{Kind: m.Kind}
 		for _, e := range m.Entries {
 			news.Engines = append(news.Engines, e.Engine)
@@ -331,6 +376,8 @@
 		m.f.Request.ID = c.nextID
 		c.flows[c.nextID] = m.f
 		m.f.arrived = time.Now()
+	case advised:
+		c.decide(m.a)
 	case learned:
 		m.to <- c.router.Learned()
 	case recalled:
@@ -374,6 +421,9 @@
 		if c.Pools != nil {
 			c.Pools.Ended(m.observation())
 		}
+		if c.Fleet != nil {
+			c.Fleet.Ended(m.observation())
+		}
 		c.decide(&standpoint.Outcome{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg, Last: m.a.Flow.isOver(),
 			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Held: m.r.Held > 0,
 			Report: m.r.Report})
@@ -440,6 +490,7 @@
 	for _, other := range f.attempts {
 		refuse = refuse || other.out && !c.Settings.SecondCopies
 	}
+	refuse = refuse || a.Leg > 0 && c.Fleet != nil && !c.Fleet.Again()
 	f.attempts = append(f.attempts, a)
 	a.ctx, a.stop = context.WithCancelCause(context.Background())
 	a.timer = time.AfterFunc(time.Until(a.Until), func() { a.giveUp(ErrNoAnswer) })
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -42,6 +42,14 @@
 	Wait   time.Duration
 	Status int
 	Unsent bool
+	Usage  Usage
+}
+
+// Usage is what an answer took of a real server, as far as known.
+type Usage struct {
+	Known     bool    // the server told it
+	Begun     bool    // something of the answer was passed on
+	Kept, Out float64 // tokens of the prompt that it held, and of the answer
 }
 
 // Reasons for which an attempt is given up; the last two may come after its first event.
@@ -235,7 +243,7 @@
 		case r.Code == standpoint.Served:
 			kind = Served
 		}
-		f.done <- Answer{Kind: kind}
+		f.done <- Answer{Kind: kind, Usage: Usage{Known: r.Tokens > 0, Begun: true, Kept: r.Kept, Out: r.Tokens}}
 	}
 	if r.Rejected != 0 && f.claimed == nil && !f.over {
 		f.over = true
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -26,7 +26,8 @@
 )
 
 // Member is one member of the replicated store. ID names it, Address is where the others reach it.
-type Member struct{ ID, Address string }
+// Reach, if not "", is where this member reaches it: members behind a relay need not agree on that.
+type Member struct{ ID, Address, Reach string }
 
 // RaftOptions say which member this is.
 type RaftOptions struct {
@@ -58,6 +59,7 @@
 type counted struct {
 	net.Listener
 	written *atomic.Int64
+	reach   map[string]string // by address, where it is reached in its place
 }
 
 type countedConn struct {
@@ -80,7 +82,11 @@
 }
 
 func (c counted) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", string(address), timeout)
+	to := string(address)
+	if r, ok := c.reach[to]; ok {
+		to = r
+	}
+	conn, err := net.DialTimeout("tcp", to, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +106,13 @@
 		}
 	}
 	r := &Raft{keys: newKeys(), bytes: &atomic.Int64{}, done: make(chan struct{})}
-	transport := raft.NewNetworkTransport(counted{listener, r.bytes}, poolSize, applyTime, o.LogTo)
+	reach := map[string]string{}
+	for _, m := range o.Members {
+		if m.Reach != "" {
+			reach[m.Address] = m.Reach
+		}
+	}
+	transport := raft.NewNetworkTransport(counted{listener, r.bytes, reach}, poolSize, applyTime, o.LogTo)
 	config := raft.DefaultConfig()
 	config.LocalID, config.LogOutput, config.LogLevel = raft.ServerID(o.ID), o.LogTo, "WARN"
 	// A move's record is some 10 KB and written every few seconds; the library's own 10,240 entries behind a snapshot
--- a/internal/store/story_test.go
+++ b/internal/store/story_test.go
@@ -38,7 +38,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		listeners = append(listeners, l)
-		list = append(list, Member{fmt.Sprint(i), l.Addr().String()})
+		list = append(list, Member{ID: fmt.Sprint(i), Address: l.Addr().String()})
 	}
 	var all []*Raft
 	for i, l := range listeners {
@@ -154,7 +154,7 @@
 	open := func(dir string) (*Raft, error) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		return OpenRaft(RaftOptions{ID: "1", Listener: l, Members: []Member{{"1", l.Addr().String()}}, Dir: dir, LogTo: io.Discard,
+		return OpenRaft(RaftOptions{ID: "1", Listener: l, Members: []Member{{ID: "1", Address: l.Addr().String()}}, Dir: dir, LogTo: io.Discard,
 			Heartbeat: 100 * time.Millisecond})
 	}
 	dir := t.TempDir()
--- a/router.go
+++ b/router.go
@@ -129,6 +129,8 @@
 		}
 	case *Probed:
 		r.onProbed(ev)
+	case *Advice:
+		r.onAdvice(ev)
 	case *TimerFired:
 		r.onTimer(ev.Token)
 	}
@@ -177,8 +179,7 @@
 			e.coldTokens = 1 - e.coldTokens/2*(1-1/max(1, float64(r.set.Balancers)))
 		}
 	}
-	e.Engine = entry
-	e.told = entry.State != Ready
+	e.Engine, e.told = entry, entry.State != Ready
 }
 
 // ask keeps the subscription where discovery tells only who asks. It backs off, with jitter, after failures.
@@ -365,9 +366,7 @@
 	}
 	if q.done {
 		r.forget(q)
-		return
-	}
-	if q.begun == nil {
+	} else if q.begun == nil {
 		r.again(q, ev.Code)
 	}
 }
@@ -428,15 +427,6 @@
 	}
 }
 
-// hedge sends a further copy while the first may still answer, where that is allowed.
-func (r *Router) hedge(q *request) {
-	if !r.set.SecondCopies || q.outstanding() != 1 || r.retries < 1 || r.hopeless(q) || r.cut > hedgeCut {
-		return
-	}
-	r.retries--
-	r.place(q)
-}
-
 func (r *Router) drainHeld() {
 	waiting := r.held
 	r.held = nil
@@ -876,6 +866,15 @@
 	}
 }
 
+// onAdvice weighs what other gateways have seen: it goes for an engine of which this one has had no sign of life since.
+func (r *Router) onAdvice(a *Advice) {
+	for _, d := range a.Doubts {
+		if e := r.engines[d.Engine]; e != nil && e.ReadyAt == d.ReadyAt && e.heard < d.At {
+			r.suspect(e, false)
+		}
+	}
+}
+
 // refused notes an error, a turn-down or a lost connection. An engine that fails at once carries little,
 // looks idle and draws ever more; once most of its answers are such it is left out. What it has taken on may
 // still be well. A tenant most of whose requests fail wherever they go has itself to blame, not the engines.
@@ -941,8 +940,11 @@
 	if q.done || q.begun != nil || a.calling || !a.overdue(r.now) {
 		return
 	}
-	if r.set.SecondCopies {
-		r.hedge(q)
+	if r.set.SecondCopies { // a further copy while the first may still answer
+		if q.outstanding() == 1 && r.retries >= 1 && !r.hopeless(q) && r.cut <= hedgeCut {
+			r.retries--
+			r.place(q)
+		}
 	} else if r.set.Cancel && r.class(q).Effect == Safe && r.retries >= 1 {
 		a.calling = true
 		r.do(Action{Kind: Cancel, Request: q.ID, Attempt: a.leg})
--- a/router_test.go
+++ b/router_test.go
@@ -567,8 +567,8 @@
 		r := New(base(), 1)
 		feed(r, 0, ready("a", "b", "c"))
 		feed(r, 0, ask(1, 4*second))
-		r.cut = cut
-		r.hedge(r.open[1])
+		r.cut, r.now, r.open[1].attempts[0].ttft = cut, second, 0.01
+		r.rescue(r.open[1].attempts[0])
 		if got := len(r.open[1].attempts); (cut > 0) != (got == 1) {
 			t.Fatalf("refused part %.1f: %d attempts", cut, got)
 		}
