--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -222,6 +222,7 @@
 	f.m.Advance(f.Now())
 	p := f.m.Purses[f.Tenants[r.Tenant]]
 	if p.Spend(n, 0) {
+		f.note("spent", p.Name, p.Window(), n)
 		return node.Charge{Budget: f.Tenants[r.Tenant], Window: p.Window(), Amount: n}, 0, true
 	}
 	f.refused++
@@ -249,7 +250,17 @@
 	f.m.Counts.Add(Tokens, cost)
 	f.m.Counts.Add(Tenants+r.Tenant, cost)
 	if c.Budget >= 0 && cost < c.Amount {
-		f.m.Purses[c.Budget].GiveBack(c.Amount-cost, c.Window, c.Window)
+		if p := f.m.Purses[c.Budget]; c.Window >= p.Window() {
+			f.note("given back", p.Name, c.Window, c.Amount-cost)
+			p.GiveBack(c.Amount-cost, c.Window, c.Window)
+		}
+	}
+}
+
+// note logs what is spent, where everything is logged: before anything comes of it.
+func (f *Fleet) note(what, budget string, window, amount int64) {
+	if e := f.Log.Check(zap.DebugLevel, what); e != nil {
+		e.Write(zap.String("budget", budget), zap.Int64("window", window), zap.Int64("amount", amount))
 	}
 }
 
--- a/router.go
+++ b/router.go
@@ -866,7 +866,7 @@
 	}
 }
 
-// onAdvice weighs what others have seen: it goes for an engine of which this gateway has had no sign of life since.
+// onAdvice weighs what others saw: it goes for an engine that has given no sign of life here since.
 func (r *Router) onAdvice(a *Advice) {
 	for _, d := range a.Doubts {
 		if e := r.engines[d.Engine]; e != nil && e.ReadyAt == d.ReadyAt && e.heard < d.At {
