--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -19,14 +19,34 @@
 
 // FleetBudget is what the fleet may spend of something in each window.
 type FleetBudget struct {
-	Kind      string   `toml:"kind"`   // tokens, of a tenant, or attempts: further ones, of all requests
-	Tenant    string   `toml:"tenant"` // of tokens
+	// Kind is tokens, of a tenant; attempts: further ones, of all requests; or places, for sessions that are paused: of all, or
+	// of a tenant.
+	Kind      string   `toml:"kind"`
+	Tenant    string   `toml:"tenant"`
 	Amount    int64    `toml:"amount"`
 	Overdraft int64    `toml:"overdraft"`
 	Window    Duration `toml:"window"`
 	Loan      int      `toml:"loan"` // windows for which nodes lend to each other at the most
 }
 
+// Tool is a tool that the model may call.
+type Tool struct {
+	Name     string   `toml:"name"`
+	Does     string   `toml:"does"`      // pause, keep or refuse
+	Wait     Duration `toml:"wait"`      // for its result, at the longest
+	ResultKB int      `toml:"result_kb"` // of a result, at the most
+	Class    string   `toml:"class"`     // by whose rules the session goes on; "": its own
+}
+
+// Sessions are how sessions pause at calls of tools; without a [[tool]] none does.
+type Sessions struct {
+	Most       int      `toml:"most"`        // paused or claimed at once, over all nodes
+	MostTenant int      `toml:"most_tenant"` // likewise, of one tenant
+	Keep       Duration `toml:"keep"`        // for which what is over is remembered
+	Decode     Duration `toml:"decode"`      // in which what follows a result must have been decoded
+	Resumes    float64  `toml:"resumes"`     // a second, at each node
+}
+
 // Fleet is what nodes share; without a listener there is none.
 type Fleet struct {
 	Listen      string        `toml:"listen"` // UDP and TCP, between nodes
@@ -80,10 +100,18 @@
 }
 
 // Rights are the budgets as the deciders take them.
-func (f *Fleet) Rights() ([]*rights.Budget, error) {
+func (o *Operator) Rights() ([]*rights.Budget, error) {
+	f := &o.Fleet
+	var longest Duration
+	for _, t := range o.Tools {
+		longest = max(longest, t.Wait)
+	}
 	var all []*rights.Budget
 	for i, b := range f.Budgets {
 		r := &rights.Budget{Name: b.Kind + "/" + b.Tenant, Amount: b.Amount, Overdraft: b.Overdraft, Window: time.Duration(b.Window), Loan: b.Loan}
+		if b.Kind == "places" && b.Window > 0 {
+			r.Ahead = int((longest+b.Window-1)/b.Window) + 1
+		}
 		for _, s := range f.Seats {
 			r.Weights = append(r.Weights, s.Weight)
 		}
@@ -152,17 +180,62 @@
 	seen := map[string]bool{}
 	for i, b := range f.Budgets {
 		switch {
-		case b.Kind != "tokens" && b.Kind != "attempts":
-			return fmt.Errorf("fleet.budget[%d].kind: %q is neither \"tokens\" nor \"attempts\"", i, b.Kind)
-		case b.Kind == "tokens" && !slices.ContainsFunc(o.Tenants, func(t Tenant) bool { return t.Name == b.Tenant }):
+		case !slices.Contains([]string{"tokens", "attempts", "places"}, b.Kind):
+			return fmt.Errorf("fleet.budget[%d].kind: %q is none of \"tokens\", \"attempts\" and \"places\"", i, b.Kind)
+		case (b.Kind == "tokens" || b.Tenant != "") && !slices.ContainsFunc(o.Tenants, func(t Tenant) bool { return t.Name == b.Tenant }):
 			return fmt.Errorf("fleet.budget[%d].tenant: %q is no tenant of this file", i, b.Tenant)
-		case b.Kind == "attempts" && b.Tenant != "":
-			return fmt.Errorf("fleet.budget[%d].tenant: further attempts are no tenant's", i)
 		case seen[b.Kind+"/"+b.Tenant]:
 			return fmt.Errorf("fleet.budget[%d]: there is one of these already", i)
 		}
 		seen[b.Kind+"/"+b.Tenant] = true
 	}
-	_, err := f.Rights()
+	_, err := o.Rights()
 	return err
 }
+
+func (o *Operator) checkTools() error {
+	if len(o.Tools) == 0 {
+		return nil
+	}
+	s := &o.Sessions
+	or(&s.Most, 10_000)
+	or(&s.MostTenant, max(1, s.Most/2))
+	or(&s.Keep, Duration(10*time.Minute))
+	or(&s.Decode, Duration(time.Minute))
+	or(&s.Resumes, 50)
+	names := map[string]bool{}
+	for i := range o.Tools {
+		t := &o.Tools[i]
+		or(&t.Does, "pause")
+		or(&t.Wait, Duration(30*time.Second))
+		or(&t.ResultKB, 64)
+		switch {
+		case t.Name == "" || names[t.Name]:
+			return fmt.Errorf("tool[%d].name: %q is missing, or there twice", i, t.Name)
+		case !slices.Contains([]string{"pause", "keep", "refuse"}, t.Does):
+			return fmt.Errorf("tool[%d].does: %q is none of \"pause\", \"keep\" and \"refuse\"", i, t.Does)
+		case t.Wait < Duration(100*time.Millisecond) || t.Wait > Duration(24*time.Hour):
+			return fmt.Errorf("tool[%d].wait: %v is not from 100ms to 24h", i, time.Duration(t.Wait))
+		case t.ResultKB < 1 || t.ResultKB > 256:
+			return fmt.Errorf("tool[%d].result_kb: %d is not from 1 to 256", i, t.ResultKB)
+		case t.Class != "" && !slices.ContainsFunc(o.Classes, func(c Class) bool { return c.Name == t.Class }):
+			return fmt.Errorf("tool[%d].class: %q is no class of this file", i, t.Class)
+		}
+		names[t.Name] = true
+	}
+	switch {
+	case s.Most < 1 || s.Most > 100_000:
+		return fmt.Errorf("sessions.most: %d is not from 1 to 100,000", s.Most)
+	case s.MostTenant < 1:
+		return fmt.Errorf("sessions.most_tenant: %d is not positive", s.MostTenant)
+	case s.Keep < Duration(time.Second) || s.Keep > Duration(24*time.Hour):
+		return fmt.Errorf("sessions.keep: %v is not from 1s to 24h", time.Duration(s.Keep))
+	case s.Decode < Duration(5*time.Second) || s.Decode > Duration(time.Hour) || s.Decode <= 4*o.Fleet.ClockError:
+		return fmt.Errorf("sessions.decode: %v is not from 5s to 1h, or not well over fleet.clock_error", time.Duration(s.Decode))
+	case !(s.Resumes > 0 && s.Resumes <= 10_000):
+		return fmt.Errorf("sessions.resumes: %g is not from 0 to 10,000 a second", s.Resumes)
+	case o.Fleet.Listen == "":
+		return errors.New("tool: sessions that pause need a [fleet]: fleet.listen is missing")
+	}
+	return nil
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -237,7 +237,9 @@
 	} `toml:"store"`
 
 	// Fleet is what this node shares with others; without its section it is off.
-	Fleet Fleet `toml:"fleet"`
+	Fleet    Fleet    `toml:"fleet"`
+	Tools    []Tool   `toml:"tool"`
+	Sessions Sessions `toml:"sessions"`
 
 	// What follows is worked out from the keys above.
 	Settings standpoint.Settings `toml:"-"`
@@ -344,6 +346,8 @@
 		{"store", o.Store, next.Store},
 		{"control", o.Control, next.Control},
 		{"fleet", o.Fleet, next.Fleet},
+		{"tool", o.Tools, next.Tools},
+		{"sessions", o.Sessions, next.Sessions},
 		{"module.zones", o.Names.Zones, next.Names.Zones},
 		{"module.kinds", o.Names.Kinds, next.Names.Kinds},
 	} {
@@ -408,7 +412,7 @@
 		return err
 	}
 	for _, check := range []func() error{o.checkAddresses, o.checkClasses, o.checkEntries, o.checkBatch, o.checkStore,
-		o.checkLog, o.checkControl, o.checkPools, o.checkMetrics, o.checkPeers, o.checkFleet} {
+		o.checkLog, o.checkControl, o.checkPools, o.checkMetrics, o.checkPeers, o.checkFleet, o.checkTools} {
 		if err := check(); err != nil {
 			return err
 		}
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -20,6 +20,7 @@
 	"standpoint/internal/figures"
 	"standpoint/internal/find/discovery"
 	"standpoint/internal/fleet"
+	"standpoint/internal/fleet/sessions"
 	"standpoint/internal/handover"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
@@ -64,8 +65,9 @@
 	life       *node.Life
 	keys       store.Store
 	fleet      *realserver.Fleet
-	pools      node.Pools   // nil: none
-	shared     *fleet.Fleet // nil: this node shares nothing
+	pools      node.Pools         // nil: none
+	shared     *fleet.Fleet       // nil: this node shares nothing
+	sessions   *sessions.Sessions // nil: none pause
 	tracker    *moves.Tracker
 	mover      *moves.Actor
 	calls      []control.Call // of the control interface
@@ -114,7 +116,7 @@
 var platformParts = []constructor{consolePart, companyPart, memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
 
 // operatorParts is the daemon as an operator's file says.
-var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, sharedPart, operatorEntriesPart, corePart, peersPart,
+var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, sharedPart, sessionsPart, operatorEntriesPart, corePart, peersPart,
 	edgePart, batchPart, agreePart, settingsPart, controlPart, metricsPart}
 
 // assemble runs a table of constructors. On a failure what was opened is closed again.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -122,7 +122,8 @@
 
 func edgePart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Bodies: node.NewShares(a.limits.Bodies(), len(names.Tenants)), Figures: a.figures, Log: a.log}
+	a.front = &edge.Front{Core: a.core, Names: names, Life: a.life, Bodies: node.NewShares(a.limits.Bodies(), len(names.Tenants)), Figures: a.figures,
+		Sessions: a.sessions, Log: a.log}
 	return part{name: "edge", reload: func(next deployment) {
 		_, names, _ := next.told()
 		a.front.Rename(names)
--- a/internal/daemon/sharedpart.go
+++ b/internal/daemon/sharedpart.go
@@ -25,7 +25,7 @@
 	if cfg.Listen == "" {
 		return part{}, nil
 	}
-	budgets, err := cfg.Rights()
+	budgets, err := a.operator.Rights()
 	if err != nil {
 		return part{}, err
 	}
@@ -53,6 +53,11 @@
 		o.Tenants = append(o.Tenants, slices.IndexFunc(cfg.Budgets, func(b config.FleetBudget) bool { return b.Kind == "tokens" && b.Tenant == names.Tenants[i] }))
 	}
 	o.Further = slices.IndexFunc(cfg.Budgets, func(b config.FleetBudget) bool { return b.Kind == "attempts" })
+	for i, b := range cfg.Budgets {
+		if b.Kind == "places" {
+			o.Places = append(o.Places, fleet.PlaceBudget{Budget: i, Tenant: slices.Index(names.Tenants, b.Tenant)})
+		}
+	}
 	f, err := fleet.Open(o)
 	if err != nil {
 		return part{}, err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"standpoint"
 	"standpoint/internal/config"
 	"standpoint/internal/figures"
+	"standpoint/internal/fleet/sessions"
 	"standpoint/internal/node"
 )
 
@@ -47,9 +48,11 @@
 	Names   config.Names
 	Bodies  *node.Shares // bytes of the bodies that are held at once
 	Figures *figures.Figures
-	Log     *zap.Logger
-	ids     ids
-	indexes atomic.Pointer[indexes]
+	// Sessions, if not nil, pause at calls of tools and go on with their results.
+	Sessions *sessions.Sessions
+	Log      *zap.Logger
+	ids      ids
+	indexes  atomic.Pointer[indexes]
 }
 
 // indexes are the module's numbers for the names of classes and tenants.
@@ -134,7 +137,7 @@
 }
 
 // told are the headers that say what a request is; one that says it twice says nothing.
-var told = []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Object", "X-Expires-In", "X-Props", "X-Second-Try", "Content-Type"}
+var told = []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Object", "X-Expires-In", "X-Props", "X-Second-Try", "Content-Type", resumeKey, cancelKey}
 
 var traceForm = regexp.MustCompile(`^[0-9A-Za-z._-]{1,64}$`)
 
@@ -219,7 +222,11 @@
 	request standpoint.Request, body []byte) {
 	work := node.Work{Method: r.Method, Target: r.URL.RequestURI(), TraceID: r.Header.Get("X-Trace-Id"),
 		ContentType: r.Header.Get("Content-Type"), Body: body}
-	answer, err := f.Core.Serve(r.Context(), node.NewFlow(request, work, &connection{w: w, control: control, chunked: r.ProtoAtLeast(1, 1)}))
+	flow := node.NewFlow(request, work, &connection{w: w, control: control, chunked: r.ProtoAtLeast(1, 1)})
+	if answered := f.session(w, r, flow); answered {
+		return
+	}
+	answer, err := f.Core.Serve(r.Context(), flow)
 	if err != nil {
 		answer = node.Answer{Kind: node.TurnedDown, Wait: busyWait}
 	}
--- /dev/null
+++ b/internal/edge/session.go
@@ -0,0 +1,67 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+
+	"standpoint/internal/figures"
+	"standpoint/internal/fleet/sessions"
+	"standpoint/internal/node"
+)
+
+// The headers of requests that go on with a session that paused, or call it off. Their bodies hold the tools' messages alone.
+const (
+	resumeKey = "X-Resume"
+	cancelKey = "X-Resume-Cancel"
+)
+
+// session makes of a flow one that goes on with a session, where the request names one, or has its answer looked at where it
+// names tools. True: the request has been answered.
+func (f *Front) session(w http.ResponseWriter, r *http.Request, flow *node.Flow) bool {
+	key := r.Header.Get(resumeKey)
+	switch {
+	case key == "" && f.Sessions != nil && f.Sessions.Looks(flow.Work.Body):
+		flow.Hook = f.Sessions.Hook(flow.Request, flow.Work.Body, flow.Server)
+		return false
+	case key == "":
+		return false
+	case f.Sessions == nil:
+		f.ended(r, figures.Failure)
+		f.Figures.FailedUnsent(figures.Malformed)
+		refuse(w, http.StatusBadRequest, resumeKey+": no sessions are kept here")
+		return true
+	case r.Header.Get(cancelKey) == "1":
+		if fault := f.Sessions.Cancel(r.Context(), key); fault != nil {
+			f.fault(w, r, fault)
+			return true
+		}
+		f.ended(r, figures.Success)
+		w.WriteHeader(http.StatusNoContent)
+		return true
+	}
+	resumed, fault := f.Sessions.Resume(r.Context(), key, r.Header.Get("X-Trace-Id"), flow.Request.Tenant, flow.Work.Body)
+	if fault != nil {
+		f.fault(w, r, fault)
+		return true
+	}
+	q := resumed.Request
+	q.Expires = min(flow.Request.Expires, f.Core.ExpiresAt(resumed.Ends))
+	flow.Request, flow.Work.Body, flow.Fresh = q, resumed.Body, resumed.Fresh
+	flow.Holder, flow.Start, flow.Holds = resumed.Server, resumed.Start, resumed.Held
+	flow.Hook = resumed.Hook(flow.Server, flow.BreakOff)
+	return false
+}
+
+// fault answers a request about a session that cannot go on: now, with when to come again, or ever.
+func (f *Front) fault(w http.ResponseWriter, r *http.Request, fault *sessions.Fault) {
+	if fault.Status >= 500 || fault.Wait > 0 {
+		f.ended(r, figures.Busy)
+	} else {
+		f.ended(r, figures.Failure)
+		f.Figures.FailedUnsent(figures.Malformed)
+	}
+	if fault.Wait > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(fault.Wait.Seconds(), 'f', 3, 64))
+	}
+	refuse(w, fault.Status, fault.Text)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,7 @@
 	Lease   time.Duration // for which the seat is asked for
 	Tenants []int         // by tenant: the budget of its tokens; -1: none
 	Further int           // the budget of further attempts; -1: none
+	Places  []PlaceBudget // of paused sessions
 	Keys    store.Store
 	Advise  func(*standpoint.Advice) // the module's; nil: nobody
 	Offset  time.Duration            // that this node's clock is off by, for tests
@@ -56,6 +57,9 @@
 	Log     *zap.Logger
 }
 
+// PlaceBudget is a budget of places for paused sessions: of one tenant, or of all, -1.
+type PlaceBudget struct{ Budget, Tenant int }
+
 // Counts that a node keeps, and after them one for each tenant: its tokens.
 const (
 	Requests = iota
@@ -237,12 +241,15 @@
 
 // Settle takes in what became of a request: what it did not cost goes back, and what it did is counted.
 func (f *Fleet) Settle(r *standpoint.Request, c node.Charge, a node.Answer) {
-	cost := int64(0)
+	cost, prompt := int64(0), r.PromptTokens
+	if c.Fresh > 0 {
+		prompt = c.Fresh
+	}
 	switch {
 	case a.Kind == node.Served && a.Usage.Known:
-		cost = int64(r.PromptTokens + a.Usage.Out)
+		cost = int64(prompt + a.Usage.Out)
 	case a.Kind == node.Served || a.Kind == node.Broken || a.Kind == node.Moved || a.Kind == node.ClientGone && a.Usage.Begun:
-		cost = int64(r.PromptTokens + r.MaxTokens) // what it was is not known: not less than it can have been
+		cost = int64(prompt + r.MaxTokens) // what it was is not known: not less than it can have been
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -257,6 +264,61 @@
 	}
 }
 
+// Hold takes a place for a session of a tenant that waits so long, of every budget that it counts against, or of none.
+func (f *Fleet) Hold(tenant int, wait time.Duration) (free func(), ok bool) {
+	type taken struct {
+		p           *rights.Purse
+		first, last int64
+	}
+	var all []taken
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.m.Advance(f.Now())
+	back := func() {
+		for _, t := range all {
+			t.p.GiveBack(1, t.first, t.last)
+		}
+	}
+	for _, b := range f.Places {
+		if b.Tenant >= 0 && b.Tenant != tenant {
+			continue
+		}
+		p := f.m.Purses[b.Budget]
+		further := int(p.At(now+int64(wait)) - p.Window())
+		if !p.Spend(1, further) {
+			back()
+			return nil, false
+		}
+		all = append(all, taken{p, p.Window(), p.Window() + int64(further)})
+	}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.m.Advance(f.Now())
+		back()
+	}, true
+}
+
+// Pace is the part of its usual pace at which this node takes on what others left.
+func (f *Fleet) Pace() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.Seats) < 2 {
+		return 1
+	}
+	return f.m.Mode.Pace(f.Now())
+}
+
+// Life is this life of the node, and those of its folder that are over.
+func (f *Fleet) Life() (seat string, life uint64, before []uint64) { return f.Name, f.inc, f.before }
+
+// StartOf is when a real server's process started, as listed.
+func (f *Fleet) StartOf(server string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[server]
+}
+
 // note logs what is spent, where everything is logged: before anything comes of it.
 func (f *Fleet) note(what, budget string, window, amount int64) {
 	if e := f.Log.Check(zap.DebugLevel, what); e != nil {
--- a/internal/lab/rig/box.go
+++ b/internal/lab/rig/box.go
@@ -20,6 +20,9 @@
 	Token   time.Duration // between two tokens
 	Failing atomic.Bool   // it errs
 	server  *http.Server
+
+	mu      sync.Mutex
+	talking map[string]int // decodings of a session that are under way, at this box
 }
 
 // Ledger is what all boxes of a rig have seen.
@@ -30,11 +33,17 @@
 	Twice  []string       // requests of which two attempts were out at once
 	Served map[string]int // tokens made and told to the end, by request
 	Asked  int
+
+	decoding map[string]int // of sessions, at all boxes
+	Double   []string       // sessions of which two parts were decoded at once
+	Wrong    []string       // prompts that were not what the session had come to
+	Parts    int            // of sessions, begun
+	Tokens   map[string]int // made for a session, in all parts that came to their end or their call
 }
 
 // NewLedger makes an empty one.
 func NewLedger() *Ledger {
-	return &Ledger{out: map[string]int{}, tries: map[string]int{}, Served: map[string]int{}}
+	return &Ledger{out: map[string]int{}, tries: map[string]int{}, Served: map[string]int{}, decoding: map[string]int{}, Tokens: map[string]int{}}
 }
 
 func (l *Ledger) begin(id string) {
@@ -73,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Box{Address: listener.Addr().String(), Ledger: l, Token: token}
+	b := &Box{Address: listener.Addr().String(), Ledger: l, Token: token, talking: map[string]int{}}
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
 	go func() { _ = b.server.Serve(listener) }()
 	return b, nil
@@ -96,15 +105,17 @@
 		return
 	}
 	var body struct {
-		Messages []struct {
-			Content string `json:"content"`
-		} `json:"messages"`
-		MaxTokens int `json:"max_tokens"`
+		Messages  []message `json:"messages"`
+		MaxTokens int       `json:"max_tokens"`
 	}
 	if err := json.Unmarshal(raw, &body); err != nil || len(body.Messages) == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if name, calls, ok := talk(body.Messages[0].Content); ok {
+		b.talk(w, r, name, calls, body.Messages)
+		return
+	}
 	prompt := 0
 	for _, m := range body.Messages {
 		prompt += len(m.Content) / 4
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -27,3 +27,17 @@
 		t.Logf("seed %d: %+v", seed+1, v)
 	}
 }
+
+// Conversations that call tools, held through any node while nodes are cut off, lossy, killed and stalled: no session is decoded
+// twice at once, each key gives one answer, and what each part is built on is what the session had come to.
+func TestSessionsOnRealProcesses(t *testing.T) {
+	path := program(t)
+	o := Options{Program: path, Nodes: 3, Boxes: 3, Seed: 1, Window: time.Second, Clock: 100 * time.Millisecond, Token: time.Millisecond, Tenants: []Tenant{{"acme", 0}}, Log: t.Logf}
+	for _, trouble := range []bool{false, true} {
+		o.Dir = t.TempDir()
+		v, err := Sessions(t.Context(), o, 6*time.Second, 10, 3, trouble)
+		require.NoError(t, err)
+		t.Logf("trouble %v: %d begun, %d whole, %d lost, %d open; %d resumes, %d refused, %d used, %d without a key; first token after a result %v, 99th %v",
+			trouble, v.Begun, v.Whole, v.Lost, v.Open, v.Resumes, v.Refused, v.Used, v.Unkept, v.First(0.5), v.First(0.99))
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -74,10 +74,12 @@
 }
 
 // Charge is what a request was admitted for: an amount of a budget in one of its windows. Budget -1: it counts against none.
+// Fresh, if not 0, are the tokens of its prompt that nobody has been charged for.
 type Charge struct {
 	Budget int
 	Window int64
 	Amount int64
+	Fresh  float64
 }
 
 // Observation is the end of an attempt as the core saw it.
@@ -191,6 +193,9 @@
 	return c.start.UnixNano() + int64(from.Sub(c.start)+span)
 }
 
+// ExpiresAt turns a moment into the module's time.
+func (c *Core) ExpiresAt(at time.Time) int64 { return c.start.UnixNano() + int64(at.Sub(c.start)) }
+
 func (c *Core) post(m any) {
 	select {
 	case c.mail <- m:
@@ -249,6 +254,9 @@
 // of every flow is counted.
 func (c *Core) Serve(ctx context.Context, f *Flow) (Answer, error) {
 	a, err := c.serve(ctx, f)
+	if f.Hook != nil {
+		f.Hook.Over(a)
+	}
 	c.count(f, a, err)
 	return a, err
 }
@@ -302,6 +310,7 @@
 	if !ok {
 		return Answer{Kind: TurnedDown, Wait: wait, Unsent: true}, nil
 	}
+	charge.Fresh = f.Fresh
 	a := c.carry(ctx, f)
 	c.Fleet.Settle(&f.Request, charge, a)
 	return a, nil
@@ -406,6 +415,9 @@
 			m.f.Request.Pool = c.Pools.Assign(&m.f.Request)
 		}
 		m.f.arrived = time.Now()
+		if m.f.Holder != "" {
+			c.router.Holds(&m.f.Request, m.f.Holder, m.f.Start, m.f.Holds, c.clock())
+		}
 		request := m.f.Request
 		c.decide(&request)
 		c.forget(m.f)
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -22,6 +22,33 @@
 	Event(b []byte) error // whole events of the answer, to be passed on at once
 }
 
+// Then is what follows events that a hook has seen.
+type Then uint8
+
+// What may follow.
+const (
+	GoOn  Then = iota // the rest
+	Stop              // nothing more of the decoding, and what Stopped returns
+	Break             // nothing: the answer is broken off
+)
+
+// Hook looks at the answer of one flow as it is passed on. Event and Stopped are called by the attempt that has claimed the flow,
+// one at a time; Over once, behind all of them, by whoever serves it.
+type Hook interface {
+	// Event sees whole events; what it returns is passed on in their place.
+	Event(b []byte) (pass []byte, then Then)
+	// Stopped is called once the decoding has ended where Event had it stop; what it returns ends the answer.
+	Stopped() (last []byte, usage Usage)
+	// Over tells the flow's final answer.
+	Over(a Answer)
+}
+
+// ErrStopped is an attempt's whose answer ends where its hook had it stop; ErrBroken, where that had it broken off.
+var (
+	ErrStopped = errors.New("the decoding ends here")
+	ErrBroken  = errors.New("the answer is broken off here")
+)
+
 // AnswerKind says how a flow ended for its client.
 type AnswerKind uint8
 
@@ -64,6 +91,14 @@
 type Flow struct {
 	Request standpoint.Request
 	Work    Work
+	// Hook, if not nil, looks at the answer.
+	Hook Hook
+	// Fresh, if not 0, are the tokens of the prompt that are charged: the others were, with an earlier part of the session.
+	Fresh float64
+	// Holder is the real server's process that is taken to hold so many tokens of the prompt, as somebody else knows; "": nobody.
+	Holder string
+	Start  int64
+	Holds  float64
 
 	edge EdgeConnection
 	done chan Answer // holds one: the final answer
@@ -175,6 +210,8 @@
 	Rejected int
 	// Moved tells that another process goes on with the stream.
 	Moved bool
+	// Whole tells that the answer is whole though the server did not end it: its decoding was ended here.
+	Whole bool
 }
 
 // Context ends when the attempt is given up; its cause is one of the reasons above.
@@ -210,8 +247,49 @@
 	return f.edge.Begin() == nil
 }
 
-// Event passes whole events on to the client.
-func (a *Attempt) Event(b []byte) error { return a.Flow.edge.Event(b) }
+// Event passes whole events on to the client, as the flow's hook has it.
+func (a *Attempt) Event(b []byte) error {
+	f := a.Flow
+	if f.Hook == nil {
+		return f.edge.Event(b)
+	}
+	b, then := f.Hook.Event(b)
+	if then == Break {
+		return ErrBroken
+	}
+	if len(b) > 0 {
+		if err := f.edge.Event(b); err != nil {
+			return err
+		}
+	}
+	if then == Stop {
+		return ErrStopped
+	}
+	return nil
+}
+
+// Stopped passes on what ends an answer whose decoding has ended where its hook had it stop. It is called once nothing of the
+// attempt is out any more.
+func (a *Attempt) Stopped() Result {
+	last, usage := a.Flow.Hook.Stopped()
+	if err := a.Flow.edge.Event(last); err != nil {
+		return Result{Code: standpoint.Cancelled}
+	}
+	return Result{Code: standpoint.Cancelled, Whole: true, Tokens: usage.Out}
+}
+
+// BreakOff ends the answer where it stands, if something of it has been passed on.
+func (f *Flow) BreakOff() { f.breakOff(ErrHandedBack) }
+
+// Server is the real server whose answer is passed on; "" before any is.
+func (f *Flow) Server() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.claimed == nil {
+		return ""
+	}
+	return f.claimed.Server
+}
 
 // Detacher is an edge connection that another process can go on with.
 type Detacher interface {
@@ -240,10 +318,10 @@
 		switch {
 		case r.Moved:
 			kind = Moved
-		case r.Code == standpoint.Served:
+		case r.Code == standpoint.Served, r.Whole:
 			kind = Served
 		}
-		f.done <- Answer{Kind: kind, Usage: Usage{Known: r.Tokens > 0, Begun: true, Kept: r.Kept, Out: r.Tokens}}
+		f.done <- Answer{Kind: kind, Usage: Usage{Known: r.Tokens > 0 || r.Whole, Begun: true, Kept: r.Kept, Out: r.Tokens}}
 	}
 	if r.Rejected != 0 && f.claimed == nil && !f.over {
 		f.over = true
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -406,6 +406,15 @@
 			}
 			quiet.Reset(p.silence(a.Resumes))
 			p.passed = time.Now()
+			if errors.Is(err, node.ErrStopped) {
+				// First the decoding ends, then it is put on record that it has.
+				quiet.Stop()
+				cancel(err)
+				if c, ok := body.(io.Closer); ok {
+					_ = c.Close()
+				}
+				return a.Stopped(), nil
+			}
 			if err != nil {
 				return node.Result{Code: standpoint.Cancelled}, err
 			}
--- a/state.go
+++ b/state.go
@@ -282,6 +282,14 @@
 	}
 }
 
+// Holds notes, from another gateway's word, that a process of an engine holds so many tokens of a request's prompt.
+func (r *Router) Holds(q *Request, engine string, readyAt int64, tokens float64, now int64) {
+	if e := r.engines[engine]; e != nil && e.ReadyAt == readyAt {
+		r.now = max(r.now, now)
+		r.remember(&request{Request: *q}, e, clamp(tokens, 1e9))
+	}
+}
+
 // toward goes a part of the way to another report.
 func (a *Report) toward(b *Report, part float64) {
 	a.Memory += part * (b.Memory - a.Memory)
