Fleet: sessions that pause at tool calls, a usage ledger with exchange, sites that go on alone, on real processes

Sessions: a hook of the core ends the decoding at a call, the store's leader keeps the record under a fence, any node goes on by key and result (internal/fleet/session, sessions). Ledger: entries in checksummed segments, written before they count, exchanged by ranges of numbers (ledger, usage); standpoint ledger, ledger verify. Sites: seats that are no halls', a table of modes, class by class into an overdraft that becomes a debt (site, rights).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -110,7 +110,7 @@
 	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve until SIGTERM; SIGHUP reads the configuration again",
 		Example: "  standpoint serve --config deploy/operator.toml", Args: faulty(cobra.NoArgs),
 		RunE: func(*cobra.Command, []string) error { return o.serve() }},
-		o.checkCommand(), o.versionCommand(), o.moveCommand(), o.poolsCommand(), o.entriesCommand(), o.nodesCommand(), o.fleetCommand())
+		o.checkCommand(), o.versionCommand(), o.moveCommand(), o.poolsCommand(), o.entriesCommand(), o.nodesCommand(), o.fleetCommand(), o.ledgerCommand())
 	root.AddCommand(o.configCommand())
 	root.AddCommand(labCommands()...)
 	return root
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -29,6 +29,14 @@
 	Loan      int      `toml:"loan"` // windows for which nodes lend to each other at the most
 }
 
+// Ledger is where what tenants use is written down; without a folder there is none.
+type Ledger struct {
+	Dir   string   `toml:"dir"`
+	MaxMB int      `toml:"max_mb"`
+	Every Duration `toml:"every"` // between two looks at another node's ledger
+	Rate  float64  `toml:"rate"`  // entries a second that are taken from others
+}
+
 // Tool is a tool that the model may call.
 type Tool struct {
 	Name     string   `toml:"name"`
@@ -62,6 +70,10 @@
 	Ask         Duration      `toml:"ask"`
 	Peers       int           `toml:"peers"`
 	Lease       Duration      `toml:"lease"`
+	Halls       []string      `toml:"halls"`     // seats whose store decides for the fleet; none: all of them. The others are sites
+	Doubt       Duration      `toml:"doubt"`     // of a site: without a hall, until it doubts
+	Alone       Duration      `toml:"alone"`     // of doubt, until it is alone
+	Overdraws   []string      `toml:"overdraws"` // classes that may go into the overdraft while their node is apart from the others
 	Seats       []FleetSeat   `toml:"seat"`
 	Budgets     []FleetBudget `toml:"budget"`
 	Evidence    struct {
@@ -83,6 +95,8 @@
 	or(&f.Beat, Duration(250*time.Millisecond))
 	or(&f.Ask, Duration(100*time.Millisecond))
 	or(&f.Peers, 2)
+	or(&f.Doubt, f.Silence)
+	or(&f.Alone, Duration(10*time.Second))
 	or(&f.Lease, Duration(10*time.Minute))
 	or(&f.Evidence.Sources, 2)
 	or(&f.Evidence.Lasts, Duration(5*time.Second))
@@ -171,7 +185,21 @@
 	if o.Store.Kind == "raft" && o.Store.ID != o.Name {
 		return fmt.Errorf("store.id: %q is not the node's name, %q, by which the fleet calls its leader", o.Store.ID, o.Name)
 	}
-	if len(f.Seats) > 1 && o.Store.Kind != "raft" {
+	for i, h := range f.Halls {
+		if !names[h] {
+			return fmt.Errorf("fleet.halls[%d]: %q is no fleet.seat", i, h)
+		}
+	}
+	for i, c := range f.Overdraws {
+		if !slices.ContainsFunc(o.Classes, func(k Class) bool { return k.Name == c }) {
+			return fmt.Errorf("fleet.overdraws[%d]: %q is no class of this file", i, c)
+		}
+	}
+	site := len(f.Halls) > 0 && !slices.Contains(f.Halls, o.Name)
+	if site && len(o.Tools) > 0 {
+		return errors.New("tool: a site's sessions do not pause; their records are the halls'")
+	}
+	if len(f.Seats) > 1 && o.Store.Kind != "raft" && !site {
 		return errors.New("store.kind: seats of a fleet are given by a replicated store, \"raft\"")
 	}
 	if len(f.Budgets) > 64 {
@@ -193,6 +221,27 @@
 	return err
 }
 
+func (o *Operator) checkLedger() error {
+	l := &o.Ledger
+	if l.Dir == "" {
+		return nil
+	}
+	or(&l.MaxMB, 256)
+	or(&l.Every, Duration(time.Second))
+	or(&l.Rate, 2000)
+	switch {
+	case o.Fleet.Listen == "":
+		return errors.New("ledger: it needs a [fleet]: fleet.listen is missing")
+	case l.MaxMB < 1 || l.MaxMB > 1<<20:
+		return fmt.Errorf("ledger.max_mb: %d is not from 1 to 1,048,576", l.MaxMB)
+	case l.Every < Duration(10*time.Millisecond) || l.Every > Duration(time.Hour):
+		return fmt.Errorf("ledger.every: %v is not from 10ms to 1h", time.Duration(l.Every))
+	case !(l.Rate >= 1 && l.Rate <= 1e6):
+		return fmt.Errorf("ledger.rate: %g is not from 1 to 1,000,000 entries a second", l.Rate)
+	}
+	return nil
+}
+
 func (o *Operator) checkTools() error {
 	if len(o.Tools) == 0 {
 		return nil
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -240,6 +240,7 @@
 	Fleet    Fleet    `toml:"fleet"`
 	Tools    []Tool   `toml:"tool"`
 	Sessions Sessions `toml:"sessions"`
+	Ledger   Ledger   `toml:"ledger"`
 
 	// What follows is worked out from the keys above.
 	Settings standpoint.Settings `toml:"-"`
@@ -348,6 +349,7 @@
 		{"fleet", o.Fleet, next.Fleet},
 		{"tool", o.Tools, next.Tools},
 		{"sessions", o.Sessions, next.Sessions},
+		{"ledger", o.Ledger, next.Ledger},
 		{"module.zones", o.Names.Zones, next.Names.Zones},
 		{"module.kinds", o.Names.Kinds, next.Names.Kinds},
 	} {
@@ -412,7 +414,7 @@
 		return err
 	}
 	for _, check := range []func() error{o.checkAddresses, o.checkClasses, o.checkEntries, o.checkBatch, o.checkStore,
-		o.checkLog, o.checkControl, o.checkPools, o.checkMetrics, o.checkPeers, o.checkFleet, o.checkTools} {
+		o.checkLog, o.checkControl, o.checkPools, o.checkMetrics, o.checkPeers, o.checkFleet, o.checkTools, o.checkLedger} {
 		if err := check(); err != nil {
 			return err
 		}
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -21,6 +21,7 @@
 	"standpoint/internal/find/discovery"
 	"standpoint/internal/fleet"
 	"standpoint/internal/fleet/sessions"
+	"standpoint/internal/fleet/usage"
 	"standpoint/internal/handover"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
@@ -68,6 +69,7 @@
 	pools      node.Pools         // nil: none
 	shared     *fleet.Fleet       // nil: this node shares nothing
 	sessions   *sessions.Sessions // nil: none pause
+	usage      *usage.Usage       // nil: nothing is written down
 	tracker    *moves.Tracker
 	mover      *moves.Actor
 	calls      []control.Call // of the control interface
@@ -116,7 +118,7 @@
 var platformParts = []constructor{consolePart, companyPart, memoryPart, fleetPart, platformEntriesPart, corePart, edgePart}
 
 // operatorParts is the daemon as an operator's file says.
-var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, sharedPart, sessionsPart, operatorEntriesPart, corePart, peersPart,
+var operatorParts = []constructor{consolePart, companyPart, storePart, registryPart, fleetPart, poolsPart, sharedPart, ledgerPart, sessionsPart, operatorEntriesPart, corePart, peersPart,
 	edgePart, batchPart, agreePart, settingsPart, controlPart, metricsPart}
 
 // assemble runs a table of constructors. On a failure what was opened is closed again.
--- a/internal/daemon/sharedpart.go
+++ b/internal/daemon/sharedpart.go
@@ -14,8 +14,10 @@
 	"standpoint/internal/fleet"
 	"standpoint/internal/fleet/invariant"
 	"standpoint/internal/fleet/judge"
+	"standpoint/internal/fleet/ledger"
 	"standpoint/internal/fleet/member"
 	"standpoint/internal/fleet/mode"
+	"standpoint/internal/fleet/site"
 	"standpoint/internal/node"
 )
 
@@ -39,6 +41,17 @@
 		Judge: judge.Limits{Sources: cfg.Evidence.Sources, Lasts: int64(cfg.Evidence.Lasts), Own: int64(cfg.Evidence.Own), Most: cfg.Evidence.Most,
 			Many: cfg.Evidence.Many, Error: int64(clockError)}}
 	settings, names, _ := a.told()
+	o.Halls, o.SiteIs = cfg.Halls, site.Limits{Doubt: time.Duration(cfg.Doubt), Alone: time.Duration(cfg.Alone), Settle: time.Duration(cfg.Settle)}
+	o.Classes, o.Names = names.Classes, names.Tenants
+	for _, c := range names.Classes {
+		o.Overdraws = append(o.Overdraws, slices.Contains(cfg.Overdraws, c))
+	}
+	// The ledger's part comes behind this one: what it does is looked up when it is needed.
+	if a.operator.Ledger.Dir != "" {
+		o.Charge = func(e ledger.Entry) bool { return a.usage.Charge(e) }
+		o.Full = func() bool { return a.usage.Full() }
+		o.Lacking = func() bool { return a.usage.Lacking() }
+	}
 	for _, s := range cfg.Seats {
 		o.Seats = append(o.Seats, fleet.Reach{Name: s.Name, Address: s.Address})
 		o.Member.Seats = append(o.Member.Seats, member.Seat{Name: s.Name, Zone: max(0, slices.Index(names.Zones, s.Zone))})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,9 +21,12 @@
 	"standpoint"
 	"standpoint/internal/fleet/invariant"
 	"standpoint/internal/fleet/judge"
+	"standpoint/internal/fleet/ledger"
 	"standpoint/internal/fleet/member"
+	"standpoint/internal/fleet/mode"
 	"standpoint/internal/fleet/rights"
 	"standpoint/internal/fleet/seat"
+	"standpoint/internal/fleet/site"
 	"standpoint/internal/node"
 	"standpoint/internal/store"
 )
@@ -48,13 +51,22 @@
 	Seats   []Reach
 	Lease   time.Duration // for which the seat is asked for
 	Tenants []int         // by tenant: the budget of its tokens; -1: none
-	Further int           // the budget of further attempts; -1: none
-	Places  []PlaceBudget // of paused sessions
-	Keys    store.Store
-	Advise  func(*standpoint.Advice) // the module's; nil: nobody
-	Offset  time.Duration            // that this node's clock is off by, for tests
-	Guard   *invariant.Guard
-	Log     *zap.Logger
+	// Halls are the seats whose store decides for the fleet; none: all of them. A seat that is none of these is a site.
+	Halls     []string
+	SiteIs    site.Limits
+	Overdraws []bool // by class: whether it may go into the overdraft while this node is not together with the others
+	Classes   []string
+	Names     []string                // of the tenants
+	Charge    func(ledger.Entry) bool // nil: there is no ledger
+	Full      func() bool
+	Lacking   func() bool
+	Further   int           // the budget of further attempts; -1: none
+	Places    []PlaceBudget // of paused sessions
+	Keys      store.Store
+	Advise    func(*standpoint.Advice) // the module's; nil: nobody
+	Offset    time.Duration            // that this node's clock is off by, for tests
+	Guard     *invariant.Guard
+	Log       *zap.Logger
 }
 
 // PlaceBudget is a budget of places for paused sessions: of one tenant, or of all, -1.
@@ -82,6 +94,7 @@
 	mu      sync.Mutex
 	m       *member.Member
 	lease   rights.Lease
+	site    *site.Machine  // nil: this seat is a hall's
 	errs    map[string]int // by real server: errors in a row
 	names   map[uint64]string
 	starts  map[string]int64
@@ -91,14 +104,15 @@
 	calls   sync.Mutex
 	waiting map[uint64]chan answer
 	nextID  uint64
-	does    map[string]func(context.Context, []byte) ([]byte, error)
+	does    map[string]doer
+	leader  string // of the halls, as a site last found it
 	busy    chan struct{}
 }
 
 // Open takes the node's folder and joins the list of members.
 func Open(o Options) (*Fleet, error) {
 	f := &Fleet{Options: o, reach: map[string]string{}, mail: make(chan []byte, mailMost), errs: map[string]int{}, names: map[uint64]string{}, starts: map[string]int64{}, zoneOf: map[string]int{},
-		waiting: map[uint64]chan answer{}, does: map[string]func(context.Context, []byte) ([]byte, error){}, busy: make(chan struct{}, callsMost)}
+		waiting: map[uint64]chan answer{}, does: map[string]doer{}, busy: make(chan struct{}, callsMost)}
 	for _, s := range o.Seats {
 		f.reach[s.Name] = s.Address
 	}
@@ -109,6 +123,9 @@
 	f.Member.Own = rights.Owner{Seat: slices.IndexFunc(o.Seats, func(s Reach) bool { return s.Name == o.Name }), Inc: f.inc}
 	f.Member.Seed = f.inc
 	f.m = member.New(f.Member, f.Now(), o.Guard)
+	if f.Site() {
+		f.site = site.New(o.SiteIs, f.Now(), o.Guard)
+	}
 	f.Does("seat", f.claimed)
 	if err := f.join(); err != nil {
 		return nil, errors.Join(err, f.folder.Close())
@@ -148,6 +165,10 @@
 	f.mu.Lock()
 	out := f.m.Tick(f.Now(), func(seat int) bool { return there[f.Seats[seat].Name] })
 	advice := f.advice()
+	if f.site != nil && f.site.Step(f.Now(), f.hall(), f.Lacking != nil && f.Lacking()) {
+		mode, _ := f.site.Now()
+		f.Log.Info("the site's mode", zap.Stringer("mode", mode))
+	}
 	f.mu.Unlock()
 	f.send(out)
 	if f.Advise != nil && len(advice.Doubts) > 0 {
@@ -155,6 +176,26 @@
 	}
 }
 
+// hall tells that a hall is heard.
+func (f *Fleet) hall() bool {
+	for i, s := range f.Seats {
+		if slices.Contains(f.Halls, s.Name) && f.m.Alive(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// apart tells that this node is not together with most of the others, or, a site's, that it is alone.
+func (f *Fleet) apart() bool {
+	if f.site != nil {
+		m, _ := f.site.Now()
+		return m == site.Alone || m == site.Reconciling
+	}
+	m, _ := f.m.Mode.Now()
+	return m == mode.Cut || m == mode.Nothing
+}
+
 func (f *Fleet) send(all []member.Send) {
 	for _, s := range all {
 		raw, err := cbor.Marshal(s.Packet)
@@ -215,8 +256,14 @@
 
 // ---- the core's side (node.Fleet) ----
 
+// fullWait is when to come again where the ledger takes nothing more for now.
+const fullWait = 500 * time.Millisecond
+
 // Admit takes what a request may cost at the most from its tenant's budget.
 func (f *Fleet) Admit(r *standpoint.Request) (node.Charge, time.Duration, bool) {
+	if f.Full != nil && f.Full() {
+		return node.Charge{}, fullWait, false
+	}
 	if r.Tenant < 0 || r.Tenant >= len(f.Tenants) || f.Tenants[r.Tenant] < 0 {
 		return node.Charge{Budget: -1}, 0, true
 	}
@@ -225,7 +272,8 @@
 	defer f.mu.Unlock()
 	f.m.Advance(f.Now())
 	p := f.m.Purses[f.Tenants[r.Tenant]]
-	if p.Spend(n, 0) {
+	grace := r.Class < len(f.Overdraws) && f.Overdraws[r.Class] && f.apart()
+	if p.Spend(n, 0) || grace && p.Overdraw(n, 0) {
 		f.note("spent", p.Name, p.Window(), n)
 		return node.Charge{Budget: f.Tenants[r.Tenant], Window: p.Window(), Amount: n}, 0, true
 	}
@@ -251,6 +299,24 @@
 	case a.Kind == node.Served || a.Kind == node.Broken || a.Kind == node.Moved || a.Kind == node.ClientGone && a.Usage.Begun:
 		cost = int64(prompt + r.MaxTokens) // what it was is not known: not less than it can have been
 	}
+	if f.Charge != nil && (a.Kind == node.Served || a.Kind == node.Broken) {
+		e := ledger.Entry{Session: r.Session, In: int64(prompt), Kept: int64(a.Usage.Kept), Out: int64(a.Usage.Out)}
+		if r.Tenant >= 0 && r.Tenant < len(f.Names) {
+			e.Tenant = f.Names[r.Tenant]
+		}
+		if r.Class >= 0 && r.Class < len(f.Classes) {
+			e.Class = f.Classes[r.Class]
+		}
+		switch {
+		case a.Kind == node.Broken:
+			e.Outcome = ledger.Broken
+		case a.Usage.Paused:
+			e.Outcome = ledger.Paused
+		}
+		if !f.Charge(e) {
+			f.Log.Error("an outcome could not be charged: too many wait to be written")
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.m.Counts.Add(Requests, 1)
--- a/internal/fleet/ledger/file.go
+++ b/internal/fleet/ledger/file.go
@@ -74,16 +74,9 @@
 		return nil, nil, err
 	}
 	f := &Files{Dir: dir, Most: most, places: map[Source][]place{}}
-	listed, err := os.ReadDir(dir)
-	if err != nil {
+	if err := f.list(); err != nil {
 		return nil, nil, err
 	}
-	for _, e := range listed {
-		if n, err := strconv.Atoi(strings.TrimSuffix(e.Name(), ".ledger")); err == nil && name(n) == e.Name() {
-			f.segments = append(f.segments, n)
-		}
-	}
-	slices.Sort(f.segments)
 	var damages []*Damage
 	for i, n := range f.segments {
 		last := i == len(f.segments)-1
@@ -100,6 +93,7 @@
 	if len(f.segments) == 0 {
 		return f, nil, f.next()
 	}
+	var err error
 	last := f.segments[len(f.segments)-1]
 	if d := len(damages); d > 0 && !damages[d-1].Torn && damages[d-1].File == name(last) {
 		return f, damages, f.next() // what stands behind the damage stays as it is, for whoever looks into it
@@ -113,6 +107,25 @@
 	return f, damages, errors.Join(err, f.out.Sync())
 }
 
+// Inspect reads all segments of a folder, and changes nothing.
+func Inspect(dir string, take func(*Entry)) ([]*Damage, error) {
+	f := &Files{Dir: dir, places: map[Source][]place{}}
+	if err := f.list(); err != nil {
+		return nil, err
+	}
+	var damages []*Damage
+	for i, n := range f.segments {
+		raw, err := os.ReadFile(f.path(n))
+		if err != nil {
+			return nil, err
+		}
+		if _, damage := f.scan(raw, n, i == len(f.segments)-1, take); damage != nil {
+			damages = append(damages, damage)
+		}
+	}
+	return damages, nil
+}
+
 func (f *Files) path(n int) string { return filepath.Join(f.Dir, name(n)) }
 
 // next begins a segment.
@@ -146,19 +159,41 @@
 	return nil
 }
 
-// read reads a segment; whole is how many of its bytes hold.
+// list finds the segments.
+func (f *Files) list() error {
+	listed, err := os.ReadDir(f.Dir)
+	if err != nil {
+		return err
+	}
+	for _, e := range listed {
+		if n, err := strconv.Atoi(strings.TrimSuffix(e.Name(), ".ledger")); err == nil && name(n) == e.Name() {
+			f.segments = append(f.segments, n)
+		}
+	}
+	slices.Sort(f.segments)
+	return nil
+}
+
+// read reads a segment; whole is how many of its bytes hold. The head of the last one may not be finished: it is written anew.
 func (f *Files) read(n int, last bool, take func(*Entry)) (whole int64, damage *Damage, err error) {
 	raw, err := os.ReadFile(f.path(n))
+	if err == nil && last && len(raw) < len(magic) && strings.HasPrefix(magic, string(raw)) {
+		raw = []byte(magic)
+		err = os.WriteFile(f.path(n), raw, 0o600)
+	}
 	if err != nil {
 		return 0, nil, err
 	}
-	bad := func(at int64, torn bool, reason string) (int64, *Damage, error) {
-		return at, &Damage{File: name(n), Offset: at, Reason: reason, Torn: torn && last}, nil
+	whole, damage = f.scan(raw, n, last, take)
+	return whole, damage, nil
+}
+
+// scan goes through a segment's bytes.
+func (f *Files) scan(raw []byte, n int, last bool, take func(*Entry)) (whole int64, damage *Damage) {
+	bad := func(at int64, torn bool, reason string) (int64, *Damage) {
+		return at, &Damage{File: name(n), Offset: at, Reason: reason, Torn: torn && last}
 	}
 	if len(raw) < len(magic) || string(raw[:len(magic)]) != magic {
-		if last && len(raw) < len(magic) && strings.HasPrefix(magic, string(raw)) {
-			return 0, nil, errors.Join(os.WriteFile(f.path(n), []byte(magic), 0o600)) // its head was being written
-		}
 		return bad(0, false, "it is no segment of this form")
 	}
 	at := int64(len(magic))
@@ -174,7 +209,7 @@
 		take(e)
 		at += size
 	}
-	return at, nil, nil
+	return at, nil
 }
 
 func parse(raw []byte) (*Entry, int64, error) {
--- a/internal/fleet/rights/purse.go
+++ b/internal/fleet/rights/purse.go
@@ -60,6 +60,7 @@
 	held   []loan
 	number uint64
 
+	debt   int64   // overdrawn in windows that are over, and not made good yet
 	asked  int64   // in the present window, granted or not
 	wanted float64 // in a window, as the latest ones show
 	first  bool    // no window has ended yet
@@ -95,6 +96,9 @@
 		}
 		p.asked = 0
 	}
+	// An overdraft becomes a debt on the windows that follow: each gives up a part of its share for it.
+	p.debt -= min(p.debt, p.due(p.window))
+	p.debt += max(0, p.spent[0]-p.Rights(p.window))
 	gone := min(w-p.window, int64(len(p.spent)))
 	copy(p.spent, p.spent[gone:])
 	clear(p.spent[int64(len(p.spent))-gone:])
@@ -144,11 +148,22 @@
 	return n
 }
 
+// debtPart is the part of a share that a window gives up for a debt.
+const debtPart = 4
+
+// due is what a window gives up for the debt: what it has left of its share, a part of that at the most.
+func (p *Purse) due(w int64) int64 {
+	return max(0, min(p.debt, p.own(w)/debtPart, p.own(w)-p.out(w)))
+}
+
+// Debt is what has been overdrawn and not made good yet.
+func (p *Purse) Debt() int64 { return p.debt }
+
 // Rights are what may be spent in a window.
-func (p *Purse) Rights(w int64) int64 { return max(0, p.own(w)-p.out(w)) + p.in(w) }
+func (p *Purse) Rights(w int64) int64 { return max(0, p.own(w)-p.out(w)-p.due(w)) + p.in(w) }
 
-func (p *Purse) most(w int64) int64 {
-	if p.Overdraft == 0 || p.own(w) == 0 {
+func (p *Purse) most(w int64, grace bool) int64 {
+	if !grace || p.Overdraft == 0 || p.own(w) == 0 {
 		return p.Rights(w)
 	}
 	return p.Rights(w) + p.Grace(p.Own.Seat, w)
@@ -164,13 +179,18 @@
 
 // Spend spends n in the present window and in as many further ones as are asked for, in all of them or in none. further must
 // not be over Ahead.
-func (p *Purse) Spend(n int64, further int) bool {
+func (p *Purse) Spend(n int64, further int) bool { return p.spend(n, further, false) }
+
+// Overdraw is Spend that may go into this seat's part of the overdraft.
+func (p *Purse) Overdraw(n int64, further int) bool { return p.spend(n, further, true) }
+
+func (p *Purse) spend(n int64, further int, grace bool) bool {
 	p.asked += max(0, n)
 	if n < 0 || further < 0 || further >= len(p.spent) {
 		return false
 	}
 	for i := range further + 1 {
-		if w := p.window + int64(i); p.spent[i]+n > p.most(w) {
+		if w := p.window + int64(i); p.spent[i]+n > p.most(w, grace) {
 			return false
 		}
 	}
@@ -191,8 +211,8 @@
 func (p *Purse) check(further int) {
 	for i := range further + 1 {
 		w := p.window + int64(i)
-		if p.spent[i] > p.most(w) {
-			p.Guard.Broken(invariant.SpentOverRights, fmt.Sprintf("%s, window %d: %d of %d", p.Name, w, p.spent[i], p.most(w)))
+		if p.spent[i] > p.most(w, true) {
+			p.Guard.Broken(invariant.SpentOverRights, fmt.Sprintf("%s, window %d: %d of %d", p.Name, w, p.spent[i], p.most(w, true)))
 		}
 	}
 }
@@ -222,7 +242,7 @@
 	least := int64(math.MaxInt64)
 	for w := first; w <= last; w++ {
 		need := max(p.Spent(w), p.forecast(w)) - p.in(w)
-		least = min(least, p.own(w)-p.out(w)-max(0, need))
+		least = min(least, p.own(w)-p.out(w)-p.due(w)-max(0, need))
 	}
 	return max(0, least)
 }
@@ -309,6 +329,7 @@
 	Rights, Spent        int64
 	Share, Lent, Held    int64
 	Wanted               float64
+	Debt                 int64
 	LoansOut, LoansIn    int
 	LeaseEpoch           uint64
 	LeaseFirst, LeaseEnd int64
@@ -317,5 +338,5 @@
 // Use is how the purse stands.
 func (p *Purse) Use() Use {
 	w := p.window
-	return Use{p.Name, w, p.Rights(w), p.Spent(w), p.own(w), p.out(w), p.in(w), p.wanted, len(p.lent), len(p.held), p.lease.Epoch, p.lease.First, p.lease.Until}
+	return Use{p.Name, w, p.Rights(w), p.Spent(w), p.own(w), p.out(w), p.in(w), p.wanted, p.debt, len(p.lent), len(p.held), p.lease.Epoch, p.lease.First, p.lease.Until}
 }
--- a/internal/fleet/sessions/hook.go
+++ b/internal/fleet/sessions/hook.go
@@ -250,7 +250,7 @@
 	o.Wait = int64(wait)
 	ctx, cancel := context.WithTimeout(context.Background(), recordTime)
 	defer cancel()
-	r, err := h.s.op(ctx, o)
+	r, err := h.s.must(ctx, o)
 	if err != nil {
 		free()
 		return "", time.Time{}, err
@@ -315,7 +315,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordTime)
 	defer cancel()
-	_, err := h.s.op(ctx, session.Op{Kind: session.End, ID: h.id, Fence: h.fence, Last: "served"})
+	_, err := h.s.must(ctx, session.Op{Kind: session.End, ID: h.id, Fence: h.fence, Last: "served"})
 	if err != nil {
 		h.s.Log.Info("the end of a session could not be put on record; its answer is broken off", zap.String("session", h.id), zap.Error(err))
 	}
@@ -336,7 +336,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTime)
 		defer cancel()
-		if _, err := h.s.op(ctx, session.Op{Kind: session.Release, ID: h.id, Fence: h.fence}); err != nil {
+		if _, err := h.s.must(ctx, session.Op{Kind: session.Release, ID: h.id, Fence: h.fence}); err != nil {
 			h.s.Log.Info("a claim could not be given back; it ends by itself", zap.String("session", h.id), zap.Error(err))
 		}
 	}()
--- a/internal/fleet/sessions/sessions.go
+++ b/internal/fleet/sessions/sessions.go
@@ -34,7 +34,8 @@
 	callsMost  = 16        // in one answer
 	idMost     = 128       // of a call
 	recordMost = 512 << 10
-	recordTime = 2 * time.Second        // for putting a session on record, while its client waits
+	recordTime = 2 * time.Second // for putting a session on record, while its client waits
+	tryAgain   = 80 * time.Millisecond
 	freshWait  = 500 * time.Millisecond // when to come again after a refusal that will not last
 	tokenChars = 4
 )
@@ -153,6 +154,22 @@
 	return nil, errors.New(r.Text)
 }
 
+// must has an operation carried out as long as ctx lasts: the leader may be another in a moment, and an operation that is told
+// twice is the same one.
+func (s *Sessions) must(ctx context.Context, o session.Op) (*session.Record, error) {
+	for {
+		r, err := s.op(ctx, o)
+		if err == nil || faultOf(err) != "" {
+			return r, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(tryAgain):
+		}
+	}
+}
+
 // kept is what a session needs to go on, as it stands on record.
 type kept struct {
 	Body     json.RawMessage `json:"body"` // the request's, with all messages up to the call
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -25,7 +25,8 @@
 	Seat     string                   `json:"seat"`
 	Life     uint64                   `json:"life"`
 	Mode     string                   `json:"mode"`
-	Since    float64                  `json:"since"` // seconds
+	Site     string                   `json:"site,omitempty"` // its mode, of a site
+	Since    float64                  `json:"since"`          // seconds
 	Pace     float64                  `json:"pace"`
 	Lease    float64                  `json:"lease"` // seconds that it lasts; 0: there is none
 	Epoch    uint64                   `json:"epoch"`
@@ -53,6 +54,10 @@
 	s := Status{Seat: f.Name, Life: f.inc, Mode: mode.String(), Since: float64(now-since) / 1e9, Pace: m.Mode.Pace(now), Epoch: f.lease.Epoch, Leader: f.Keys.Leader(),
 		Counts: map[string]tally.Reading{"requests": m.Counts.Read(Requests, now), "tokens": m.Counts.Read(Tokens, now)}, Live: m.Counts.Live(now, int64(f.Member.Silence)),
 		Refused: f.refused, Sent: f.sent.Load(), Dropped: f.dropped.Load(), Breaches: f.Guard.Counts(), Doubted: []string{}}
+	if f.site != nil {
+		m, _ := f.site.Now()
+		s.Site = m.String()
+	}
 	if f.lease.Epoch != 0 {
 		s.Lease = max(0, time.Duration(f.lease.Until-now).Seconds())
 	}
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -76,6 +76,7 @@
 type Usage struct {
 	Known     bool    // the server told it
 	Begun     bool    // something of the answer was passed on
+	Paused    bool    // it was ended at a call
 	Kept, Out float64 // tokens of the prompt that it held, and of the answer
 }
 
@@ -321,7 +322,7 @@
 		case r.Code == standpoint.Served, r.Whole:
 			kind = Served
 		}
-		f.done <- Answer{Kind: kind, Usage: Usage{Known: r.Tokens > 0 || r.Whole, Begun: true, Kept: r.Kept, Out: r.Tokens}}
+		f.done <- Answer{Kind: kind, Usage: Usage{Known: r.Tokens > 0 || r.Whole, Begun: true, Paused: r.Whole, Kept: r.Kept, Out: r.Tokens}}
 	}
 	if r.Rejected != 0 && f.claimed == nil && !f.over {
 		f.over = true
--- a/router.go
+++ b/router.go
@@ -972,14 +972,13 @@
 }
 
 func (r *Router) onProbed(ev *Probed) {
-	e := r.engines[ev.Engine]
-	if e == nil {
-		return
-	}
-	if e.probing = false; ev.OK {
-		e.heard = r.now
-		if ev.Report != nil && r.set.Reports != ReportNone {
-			r.takeReport(e, ev.Report)
+	if e := r.engines[ev.Engine]; e != nil {
+		if e.probing = false; ev.OK {
+			r.returned(e)
+			e.heard, e.suspect = r.now, false
+			if ev.Report != nil && r.set.Reports != ReportNone {
+				r.takeReport(e, ev.Report)
+			}
 		}
 	}
 }
