Proof: guards of the fleet's deciders taken out one by one; five that no test found have one now

Found without a test, and given one: a returned loan that is forgotten at its return, a loan of another life, a clock that brings windows back, older counts taken for news, a claim's fence that is not compared where one node claims twice.

--- a/internal/fleet/rights/rights_test.go
+++ b/internal/fleet/rights/rights_test.go
@@ -241,6 +241,25 @@
 	a.Returned(b.Own, back[0].Number, back[0].Last)
 	require.EqualValues(t, []int64{6, 10}, []int64{a.Rights(at + 2), a.Rights(at + 3)})
 	require.False(t, b.Take(l), "nor once it has been given back")
+	w.advance(second)
+	require.False(t, b.Take(l), "nor while it would last")
+	other := l
+	other.Number, other.To.Inc = 99, b.Own.Inc+1
+	require.False(t, b.Take(other), "nor one that is another life's")
+}
+
+// A clock that is set back does not bring a window back: what is spent stays spent, and nothing is had twice.
+func TestAClockThatGoesBack(t *testing.T) {
+	w := newWorld(t, 1, Budget{Name: "b", Amount: 20, Window: time.Second, Loan: 2})
+	w.advance(2 * second)
+	p := w.nodes[0]
+	require.True(t, w.spend(0, 20, 0))
+	at := p.Window()
+	p.Advance(w.now - second)
+	require.Equal(t, at, p.Window())
+	require.False(t, w.spend(0, 1, 0))
+	p.Advance(w.now)
+	require.False(t, w.spend(0, 1, 0))
 }
 
 // A node that hears nobody has its seat's share, while its lease lasts, and nothing more; an heir leaves the windows alone that
--- a/internal/fleet/session/session_test.go
+++ b/internal/fleet/session/session_test.go
@@ -80,6 +80,17 @@
 	require.ErrorIs(t, step(t, &r, second2, 77*second), ErrUnknown)
 }
 
+// A node that claims a session again, behind a claim of its own that ended, does not end it by what the first had left to say.
+func TestTheSameNodeTwice(t *testing.T) {
+	r := paused(t)
+	require.NoError(t, step(t, &r, claim(b, "q1"), second))
+	require.NoError(t, step(t, &r, claim(b, "q2"), 20*second))
+	for _, late := range []Op{{Kind: End, Fence: 1, By: b}, {Kind: Release, Fence: 1, By: b}, {Kind: Begin, Fence: 1, By: b}} {
+		require.ErrorIs(t, step(t, &r, late, 21*second), ErrFence)
+	}
+	require.NoError(t, step(t, &r, Op{Kind: End, Fence: 2, By: b}, 21*second))
+}
+
 func TestEndsOfSessions(t *testing.T) {
 	r := paused(t)
 	require.ErrorIs(t, step(t, &r, Op{Kind: Expire}, 29*second), ErrNotNow)
--- a/internal/fleet/tally/tally_test.go
+++ b/internal/fleet/tally/tally_test.go
@@ -88,5 +88,8 @@
 	require.Equal(t, Reading{Lower: 2, Upper: 3, Age: second, Heard: 2, Silent: 1}, a.Live(2*second, 3*second))
 	require.Equal(t, Reading{Lower: 1, Upper: 3, Heard: 2, Silent: 1}, a.Live(9*second, 3*second))
 	require.False(t, a.Hear(Row{Owner: rights.Owner{Seat: 1, Inc: 1}, At: 2 * second, Counts: []int64{4}}, 2*second), "counts that fall")
+	require.False(t, a.Hear(Row{Owner: rights.Owner{Seat: 1, Inc: 1}, At: second / 2, Counts: []int64{5}}, 2*second), "older news")
+	age, _ := a.Age(1, 2*second)
+	require.Equal(t, second, age)
 	require.False(t, a.Hear(Row{Owner: rights.Owner{Seat: 1, Inc: 1}, At: 90 * second, Counts: []int64{6}}, 2*second), "told from the time to come")
 }
--- a/internal/lab/labcli/fleet.go
+++ b/internal/lab/labcli/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"standpoint/internal/lab/many"
+	"standpoint/internal/lab/proof"
 	"standpoint/internal/lab/rig"
 )
 
@@ -150,3 +151,18 @@
 	f.DurationVar(&span, "span", 10*time.Second, "of the troubles of each play")
 	return c
 }
+
+// proofCommand takes guards out and shows that the tests find it.
+func proofCommand(out io.Writer) *cobra.Command {
+	var root string
+	c := &cobra.Command{Use: "proof", Short: "Take the guards of the fleet's deciders out, one by one, in a copy, and show what finds it",
+		RunE: func(c *cobra.Command, _ []string) error {
+			missed, err := proof.Run(c.Context(), root, out)
+			if err == nil && missed > 0 {
+				err = fmt.Errorf("%d guards can go without a test that finds it", missed)
+			}
+			return err
+		}}
+	c.Flags().StringVar(&root, "root", ".", "the tree")
+	return c
+}
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -22,7 +22,7 @@
 	root.SetErr(errs)
 	root.AddCommand(movesCommand(out, errs), boxesCommand(errs), pokeCommand(), stageCommand(out, errs), dnsCommand(errs),
 		freshCommand(out), discoveryCommand(out, errs), loadCommand(out, errs),
-		runCommand(out, errs), compareCommand(out), scaleCommand(out, errs), fleetCommand(out), rigCommand(out))
+		runCommand(out, errs), compareCommand(out), scaleCommand(out, errs), fleetCommand(out), rigCommand(out), proofCommand(out))
 	root.SetArgs(args)
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(errs, "lab:", err)
