--- a/fleet_test.go
+++ b/fleet_test.go
@@ -326,37 +326,3 @@
 		}
 	}
 }
-
-// Seen on join+mass: connections that came up 0.1 to 1 s late (126 of 145 logged failures to connect) left servers out, and
-// three in a row their whole zone. A sign of life from one brings back what was left out with it, and nothing is taken for cold.
-func TestAConnectionThatComesLateIsASignOfLife(t *testing.T) {
-	s := base()
-	s.Zones, s.CrossZonePrice, s.SecondCopies, s.MaxAttempts, s.WarmUp, s.ColdShare, s.FallFactor = 2, 0.03, false, 3, 24*second, 0.13, 4
-	r := New(s, 1)
-	feed(r, 0, twoZones(12))
-	now := second
-	for i := int64(1); r.lost[0] < lostZone && r.lost[1] < lostZone; i++ {
-		got := feed(r, now, ask(i, now+4*second))
-		feed(r, now+100*ms, &Outcome{Request: i, Code: NoConnection, Engine: got[0].Engine}, &Left{Request: i})
-		now += 110 * ms
-	}
-	_, avoided := r.Census()
-	if avoided < 6 {
-		t.Fatalf("%d avoided of a zone of 6", avoided)
-	}
-	var late *engine
-	for _, e := range r.ready {
-		if e.down {
-			late = e
-		}
-	}
-	feed(r, now+400*ms, &Probed{Engine: late.Name, OK: true})
-	if _, avoided = r.Census(); avoided > 0 {
-		t.Fatalf("%d are avoided still", avoided)
-	}
-	for _, e := range r.ready {
-		if e.back != 0 {
-			t.Fatal("taken for one that has started anew")
-		}
-	}
-}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -61,8 +61,7 @@
 
 func fleetPart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), Wrote: a.figures.Wrote,
-		Came: func(server string) { a.core.Came(server) }, Log: a.log}
+	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), Wrote: a.figures.Wrote, Log: a.log}
 	if a.operator != nil {
 		b := a.operator.BatchServer
 		o.Batch = realserver.BatchOptions{Gather: time.Duration(b.Gather), Lines: b.Lines, Poll: time.Duration(b.Poll),
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -146,7 +146,6 @@
 	adjusted struct{ settings standpoint.Settings }
 	adopted  struct{ f *Flow }
 	advised  struct{ a *standpoint.Advice }
-	came     struct{ server string }
 	learned  struct{ to chan<- *standpoint.Learned }
 	recalled struct {
 		l    *standpoint.Learned
@@ -216,9 +215,6 @@
 // Advise has the module weigh what other nodes have seen of the real servers.
 func (c *Core) Advise(a *standpoint.Advice) { c.post(advised{a}) }
 
-// Came tells that a connection to a real server came up after the attempt that wanted it had given it up: the server is there.
-func (c *Core) Came(server string) { c.post(came{server}) }
-
 // Learned is a copy of what the module has learned; nil if it is not to be had before ctx ends.
 func (c *Core) Learned(ctx context.Context) *standpoint.Learned {
 	to := make(chan *standpoint.Learned, 1)
@@ -389,8 +385,6 @@
 		m.f.Request.ID = c.nextID
 		c.flows[c.nextID] = m.f
 		m.f.arrived = time.Now()
-	case came:
-		c.decide(&standpoint.Probed{Engine: m.server, OK: true})
 	case advised:
 		c.decide(m.a)
 	case learned:
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -46,7 +46,6 @@
 	MaxIdle     int           // connections kept to one real server between requests
 	Batch       BatchOptions  // for the real servers that take files
 	Wrote       func()        // an attempt is written whole; nil: nobody counts
-	Came        func(string)  // a connection to the named server came up after DialTimeout; nil: nobody is told
 	Log         *zap.Logger
 }
 
@@ -104,7 +103,7 @@
 func (f *Fleet) start(e node.ServiceEntry) actor {
 	a := actor{name: e.Name, batch: e.Batch, mail: make(chan any, mailboxSize), log: f.Log}
 	if e.Batch {
-		s := &batchServer{Options: f.Options, actor: a, client: &http.Client{Transport: transport(f.Options, e.Name, &keep{}).Transport},
+		s := &batchServer{Options: f.Options, actor: a, client: &http.Client{Transport: transport(f.Options, &keep{})},
 			out: map[*parcel]bool{}, ended: make(chan *parcel)}
 		go s.run(e.Address)
 	} else {
@@ -182,47 +181,35 @@
 // run works the mailbox. Each attempt waits on its connection in a goroutine of its own: a silent
 // connection must not hold the mailbox.
 func (s *server) run(at moved) {
-	connections := transport(s.Options, s.name, s.keep)
-	defer func() { connections.replaced() }()
+	connections := transport(s.Options, s.keep)
+	defer func() { connections.CloseIdleConnections() }()
 	for m := range s.mail {
 		switch m := m.(type) {
 		case *node.Attempt:
-			go s.attempt(connections.Transport, at.address, m)
+			go s.attempt(connections, at.address, m)
 		case moved:
 			// Another machine, or another process: what was kept of connections leads to the one before, and how long
 			// that one let them rest says nothing of this one.
 			if m != at {
-				connections.replaced()
+				connections.CloseIdleConnections()
 				s.keep = &keep{}
-				connections, at = transport(s.Options, s.name, s.keep), m
+				connections, at = transport(s.Options, s.keep), m
 			}
 		case limits:
 			s.DialTimeout, s.ConnIdle, s.MaxIdle = m.dial, m.idle, m.maxIdle
-			connections.replaced()
-			connections = transport(s.Options, s.name, s.keep)
+			connections.CloseIdleConnections()
+			connections = transport(s.Options, s.keep)
 		case gone:
 			return
 		}
 	}
 }
 
-// connections are those to one server.
-type connections struct {
-	*http.Transport
-	dialing *dialing
-}
-
-// replaced closes what is kept of them; those with a request run on.
-func (c connections) replaced() {
-	c.CloseIdleConnections()
-	c.dialing.close()
-}
-
-func transport(o Options, name string, k *keep) connections {
-	d := &dialing{Options: o, name: name, open: (&net.Dialer{Timeout: max(lateDial, o.DialTimeout), KeepAlive: -1}).DialContext}
-	return connections{dialing: d, Transport: &http.Transport{
+func transport(o Options, k *keep) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.dial(ctx, network, address)
+			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -237,7 +224,7 @@
 		DisableCompression:  true, // events pass through unchanged, as they come
 		WriteBufferSize:     4 << 10,
 		ReadBufferSize:      4 << 10,
-	}}
+	}
 }
 
 // ofRequest are the statuses that say that the request itself is wrong. Another server would say the same: it is not
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -74,7 +74,6 @@
 	n := &Node{Life: &node.Life{}, t: t}
 	n.Figures = figures.New(Names.Classes, func() int { return n.Core.Open() })
 	fleet.Wrote = n.Figures.Wrote
-	fleet.Came = func(server string) { n.Core.Came(server) }
 	n.Core = node.New(node.Options{Settings: settings, Seed: 1, MaxFlows: 300, Servers: fleet, Entries: noEntries{}, Figures: n.Figures, Log: log})
 	n.Tell(entries...)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router.go
+++ b/router.go
@@ -974,8 +974,7 @@
 func (r *Router) onProbed(ev *Probed) {
 	if e := r.engines[ev.Engine]; e != nil {
 		if e.probing = false; ev.OK {
-			r.returned(e)
-			e.heard, e.suspect = r.now, false
+			e.heard = r.now
 			if ev.Report != nil && r.set.Reports != ReportNone {
 				r.takeReport(e, ev.Report)
 			}
