--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -23,13 +22,14 @@
 const (
 	SeatsMost   = 4096
 	BudgetsMost = 64
-	BeatsMost   = 150 // signs of life in a packet
-	NewsMost    = 4   // of others, in a packet
+	BeatsMost   = 600 // signs of life in a packet, a byte each
+	NewsMost    = 5   // of others, in a packet
 	OrdersMost  = 16  // asks, loans and returns in a packet
 	SparesMost  = 8   // budgets of which a piece of news says what is spare
 	LoansATick  = 8   // loans given in a tick at the usual pace
 	asked       = 3   // lenders that are asked at once
-	beatUnit    = int64(10 * time.Millisecond)
+	beatLeast   = 10 * time.Millisecond
+	beatNever   = 0xff // in place of an age: not heard, or too long ago
 )
 
 // Seat is a place in the fleet that one node has at a time.
@@ -91,7 +91,9 @@
 // Packet is what goes from one node to another.
 type Packet struct {
 	From   rights.Owner `cbor:"1,keyasint"`
-	Beats  []byte       `cbor:"2,keyasint,omitempty"` // of others: seat and age, two bytes each
+	Unit   int64        `cbor:"5,keyasint,omitempty"` // of the ages, nanoseconds
+	First  int          `cbor:"6,keyasint,omitempty"` // seat of the first age
+	Beats  []byte       `cbor:"2,keyasint,omitempty"` // how long ago each seat was alive, as far as the sender knows
 	News   []News       `cbor:"3,keyasint,omitempty"`
 	Orders []Order      `cbor:"4,keyasint,omitempty"`
 }
@@ -232,14 +234,18 @@
 			}
 		}
 	}
-	for i := range m.Seats {
-		seat := (from + i) % len(m.Seats)
-		age := (m.now - m.heard[seat]) / beatUnit
-		if seat == to || seat == m.Own.Seat || m.heard[seat] == 0 || age > 0xffff || age*beatUnit > int64(m.Silence) || len(p.Beats) >= 4*BeatsMost {
-			continue
+	// Ages, not times: nobody's clock matters for who is heard.
+	p.Unit = int64(max(beatLeast, m.Silence/(beatNever-1)))
+	if len(m.Seats) > BeatsMost {
+		p.First = from
+	}
+	for i := range min(len(m.Seats), BeatsMost) {
+		seat := (p.First + i) % len(m.Seats)
+		age := (m.now - m.heard[seat] + p.Unit - 1) / p.Unit
+		if m.heard[seat] == 0 || age >= beatNever {
+			age = beatNever
 		}
-		p.Beats = binary.BigEndian.AppendUint16(p.Beats, uint16(seat))
-		p.Beats = binary.BigEndian.AppendUint16(p.Beats, uint16(age))
+		p.Beats = append(p.Beats, byte(age))
 	}
 	return p
 }
@@ -318,13 +324,15 @@
 func (m *Member) Receive(now int64, p Packet) []Send {
 	now = m.Advance(now)
 	if p.From.Seat < 0 || p.From.Seat >= len(m.Seats) || p.From.Seat == m.Own.Seat || len(p.News) > 1+NewsMost || len(p.Orders) > OrdersMost ||
-		len(p.Beats) > 4*BeatsMost || len(p.Beats)%4 != 0 {
+		len(p.Beats) > BeatsMost || len(p.Beats) > len(m.Seats) || p.First < 0 || p.First >= len(m.Seats) || p.Unit < 0 || p.Unit > int64(time.Hour) {
 		m.broken++
 		return nil
 	}
 	m.alive(p.From.Seat, now)
-	for b := p.Beats; len(b) > 0; b = b[4:] {
-		m.alive(int(binary.BigEndian.Uint16(b)), now-int64(binary.BigEndian.Uint16(b[2:]))*beatUnit)
+	for i, age := range p.Beats {
+		if age != beatNever {
+			m.alive((p.First+i)%len(m.Seats), now-int64(age)*p.Unit)
+		}
 	}
 	for _, n := range p.News {
 		m.hear(n)
@@ -372,10 +380,12 @@
 			return Order{}, false
 		}
 		l, ok := p.Lend(from, o.Amount, o.First, int(o.Last-o.First+1))
+		lent := Order{Kind: Lend, Budget: o.Budget, To: l.To, Number: l.Number, Amount: l.Amount, First: l.First, Last: l.Last}
 		if ok {
 			m.grants--
+			m.owe(from.Seat, lent) // told once more with the next tick: one that is lost is spent by nobody until its end
 		}
-		return Order{Kind: Lend, Budget: o.Budget, To: l.To, Number: l.Number, Amount: l.Amount, First: l.First, Last: l.Last}, ok
+		return lent, ok
 	case Lend:
 		p.Take(rights.Loan{Lender: from, Number: o.Number, To: o.To, Amount: o.Amount, First: o.First, Last: o.Last})
 	case Return:
--- a/internal/lab/many/many.go
+++ b/internal/lab/many/many.go
@@ -180,6 +180,12 @@
 		w.now = e.at
 		e.do()
 	}
+	if !agreed {
+		w.result.Agreed = float64(w.now-w.to) / 1e9 // not by the end
+	}
+	if w.result.Healed == 0 {
+		w.result.Healed = float64(w.now-w.to) / 1e9
+	}
 	w.sum()
 	return w.result
 }
