--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -292,10 +292,13 @@
 		if len(a.Entries) == 0 {
 			return nil // it has them no more, or cannot read them; another may
 		}
+		if slices.Contains(a.Entries, nil) {
+			return errors.New("an answer with entries that are none")
+		}
 		var good []*ledger.Entry
 		u.mu.Lock()
 		for _, e := range a.Entries {
-			if e != nil && e.Check() == nil && e.Seat == of.Seat && e.Life == of.Life && e.Number >= r.First && e.Number <= r.Last &&
+			if e.Check() == nil && e.Seat == of.Seat && e.Life == of.Life && e.Number >= r.First && e.Number <= r.Last &&
 				(e.Seat != u.Seat || e.Life != u.Life) && len(u.book.Lacks(ledger.Digest{{Source: of, Ranges: []ledger.Range{{First: e.Number, Last: e.Number}}}}, 1)) > 0 {
 				good = append(good, e)
 			}
@@ -305,7 +308,11 @@
 			return ledger.ErrFull
 		}
 		u.taken.Add(uint64(len(good)))
-		r.First = a.Entries[len(a.Entries)-1].Number + 1
+		last := a.Entries[len(a.Entries)-1].Number
+		if last < r.First {
+			return errors.New("entries that were not asked for")
+		}
+		r.First = last + 1
 		rate := max(1, u.Rate*u.Pace())
 		select {
 		case <-ctx.Done():
