--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -34,7 +34,7 @@
 
 // restLeast is how long a link rests before it begins another request. What a server sends right behind an answer, in a
 // piece of its own some milliseconds late, must have come by then: later it could not be told from the next answer.
-const restLeast = 25 * time.Millisecond
+const restLeast = 15 * time.Millisecond
 
 const (
 	keepLeast   = 20 * time.Millisecond
