--- a/internal/fleet/session/session_test.go
+++ b/internal/fleet/session/session_test.go
@@ -51,6 +51,7 @@
 	r := paused(t)
 	require.ErrorIs(t, step(t, &r, Op{Kind: Take, Turn: 1, By: b, Claim: "q1", For: second, Results: []string{"c1"}}, second), ErrResults)
 	require.ErrorIs(t, step(t, &r, Op{Kind: Take, Turn: 1, By: b, Claim: "q1", For: second, Results: []string{"c1", "c2", "c3"}}, second), ErrResults)
+	require.ErrorIs(t, step(t, &r, Op{Kind: Take, Turn: 1, By: b, Claim: "q1", For: second, Results: []string{"c1", "another"}}, second), ErrResults)
 	require.NoError(t, step(t, &r, claim(b, "q1"), second))
 	require.EqualValues(t, 1, r.Fence)
 	require.NoError(t, step(t, &r, claim(b, "q1"), second), "its answer was lost, and it is asked for again")
