Ledger: entries are numbered where they are written, so that lost ones leave no gaps

Read in review: a number was drawn before an entry could be lost for want of room; after 64 such gaps the book would have taken no further entry of that life (RangesMost), written or not. TestLostEntriesLeaveNoGaps fails without.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -166,6 +166,9 @@
 	if e := f.Evidence; e.Sources < 1 || !(e.Most >= 0 && e.Most <= 1) || !(e.Many > 0 && e.Many <= 1) {
 		return fmt.Errorf("fleet.evidence: sources %d, most %g, many %g: at least one source, and shares from 0 to 1", e.Sources, e.Most, e.Many)
 	}
+	if len(f.Seats) > 4096 {
+		return errors.New("fleet.seat: more than 4,096")
+	}
 	names := map[string]bool{}
 	for i, s := range f.Seats {
 		if s.Name == "" || names[s.Name] {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -20,16 +20,14 @@
 
 // Bounds of what is sent and done at once.
 const (
-	SeatsMost   = 4096
-	BudgetsMost = 64
-	BeatsMost   = 600 // signs of life in a packet, a byte each
-	NewsMost    = 5   // of others, in a packet
-	OrdersMost  = 16  // asks, loans and returns in a packet
-	SparesMost  = 8   // budgets of which a piece of news says what is spare
-	LoansATick  = 8   // loans given in a tick at the usual pace
-	asked       = 3   // lenders that are asked at once
-	beatLeast   = 10 * time.Millisecond
-	beatNever   = 0xff // in place of an age: not heard, or too long ago
+	BeatsMost  = 600 // signs of life in a packet, a byte each
+	NewsMost   = 5   // of others, in a packet
+	OrdersMost = 16  // asks, loans and returns in a packet
+	SparesMost = 8   // budgets of which a piece of news says what is spare
+	LoansATick = 8   // loans given in a tick at the usual pace
+	asked      = 3   // lenders that are asked at once
+	beatLeast  = 10 * time.Millisecond
+	beatNever  = 0xff // in place of an age: not heard, or too long ago
 )
 
 // Seat is a place in the fleet that one node has at a time.
--- a/internal/fleet/sessions/sessions.go
+++ b/internal/fleet/sessions/sessions.go
@@ -20,7 +20,6 @@
 	"github.com/klauspost/compress/zstd"
 	"go.uber.org/zap"
 
-	"standpoint"
 	"standpoint/internal/fleet"
 	"standpoint/internal/fleet/invariant"
 	"standpoint/internal/fleet/session"
@@ -61,24 +60,23 @@
 
 // Options are what the part is made of.
 type Options struct {
-	Tools    []Tool
-	Limits   session.Limits
-	Decode   time.Duration // that a claim lasts: what follows must have been decoded by then
-	Resumes  float64       // a second, at this node; in a fleet that heals fewer
-	InHand   int           // resumed requests at once
-	Seat     string
-	Life     uint64
-	Before   []uint64 // lives of this node that are over
-	Error    time.Duration
-	Now      func() int64
-	Pace     func() float64
-	Call     func(ctx context.Context, what string, in, out any) error
-	Place    func(tenant int, wait time.Duration) (free func(), ok bool) // of the fleet's budgets of paused sessions; nil: there are none
-	Keys     store.Store
-	Guard    *invariant.Guard
-	Log      *zap.Logger
-	StartOf  func(server string) int64
-	MaxFlows int
+	Tools   []Tool
+	Limits  session.Limits
+	Decode  time.Duration // that a claim lasts: what follows must have been decoded by then
+	Resumes float64       // a second, at this node; in a fleet that heals fewer
+	InHand  int           // resumed requests at once
+	Seat    string
+	Life    uint64
+	Before  []uint64 // lives of this node that are over
+	Error   time.Duration
+	Now     func() int64
+	Pace    func() float64
+	Call    func(ctx context.Context, what string, in, out any) error
+	Place   func(tenant int, wait time.Duration) (free func(), ok bool) // of the fleet's budgets of paused sessions; nil: there are none
+	Keys    store.Store
+	Guard   *invariant.Guard
+	Log     *zap.Logger
+	StartOf func(server string) int64
 }
 
 // Sessions is the part.
@@ -276,5 +274,3 @@
 var _ node.Hook = (*hook)(nil)
 
 func tokensOf(chars int) float64 { return float64((chars + tokenChars - 1) / tokenChars) }
-
-var _ = standpoint.Safe
--- a/internal/fleet/tally/tally.go
+++ b/internal/fleet/tally/tally.go
@@ -14,11 +14,8 @@
 	"standpoint/internal/fleet/rights"
 )
 
-// Bounds of what a node keeps.
-const (
-	KeysMost  = 64 // counts of a life
-	LivesMost = 4  // of a seat, that are kept apart; earlier ones are added up
-)
+// LivesMost is how many lives of a seat are kept apart; earlier ones are added up.
+const LivesMost = 4
 
 // Row is one life's counts, as it told them at a time of its own clock.
 type Row struct {
--- a/internal/fleet/usage/usage.go
+++ b/internal/fleet/usage/usage.go
@@ -49,7 +49,7 @@
 type Usage struct {
 	Options
 	queue  chan *ledger.Entry
-	number uint64
+	number uint64 // of the latest entry; the writer's alone: what is lost leaves no gap behind
 
 	mu      sync.Mutex
 	files   *ledger.Files
@@ -81,7 +81,7 @@
 
 // Charge has an entry written. It does not wait. False: too many wait already, and the entry is lost; Full tells so before.
 func (u *Usage) Charge(e ledger.Entry) bool {
-	e.Seat, e.Life, e.Number, e.At = u.Seat, u.Life, atomic.AddUint64(&u.number, 1), u.Now()
+	e.Seat, e.Life, e.At = u.Seat, u.Life, u.Now()
 	select {
 	case u.queue <- &e:
 		return true
@@ -114,19 +114,19 @@
 		select {
 		case <-ctx.Done():
 			for len(u.queue) > 0 {
-				batch = append(batch, <-u.queue)
+				batch = append(batch, u.numbered(<-u.queue))
 			}
 			u.append(batch)
 			return
 		case e := <-u.queue:
-			batch = append(batch, e)
+			batch = append(batch, u.numbered(e))
 		}
 		more := time.NewTimer(gather)
 	collect:
 		for len(batch) < batchMost {
 			select {
 			case e := <-u.queue:
-				batch = append(batch, e)
+				batch = append(batch, u.numbered(e))
 			case <-more.C:
 				break collect
 			}
@@ -143,6 +143,12 @@
 	}
 }
 
+func (u *Usage) numbered(e *ledger.Entry) *ledger.Entry {
+	u.number++
+	e.Number = u.number
+	return e
+}
+
 // append writes entries, and counts them once they are on the disk.
 func (u *Usage) append(all []*ledger.Entry) bool {
 	if len(all) == 0 {
--- a/internal/fleet/usage/usage_test.go
+++ b/internal/fleet/usage/usage_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,7 +90,6 @@
 func charge(t testing.TB, u *Usage, n int) {
 	for i := range n {
 		for !u.Charge(ledger.Entry{Tenant: fmt.Sprint("t", i%3), Class: "chat", In: int64(i), Out: 7}) {
-			atomic.AddUint64(&u.number, ^uint64(0)) // the test is alone in charging here
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -142,6 +140,29 @@
 	require.Eventually(t, func() bool { return u.Status().Charged == 1 && !u.Full() }, 5*time.Second, time.Millisecond)
 }
 
+// Entries that could not wait to be written leave no gaps: the numbers of a life follow each other, however many were lost.
+func TestLostEntriesLeaveNoGaps(t *testing.T) {
+	l := &line{rng: rand.New(rand.NewPCG(1, 1)), ends: map[string]*Usage{}}
+	u := open(t, l, t.TempDir(), "a", 1)
+	taken := 0
+	for i := range queueMost + 100 {
+		if u.Charge(ledger.Entry{Tenant: "t"}) {
+			taken++
+		}
+		if i%2 == 0 && len(u.queue) == queueMost {
+			<-u.queue // room for one now and then: what follows is lost and taken in turn
+			taken--
+		}
+	}
+	require.Positive(t, u.lost.Load())
+	require.True(t, u.Full())
+	defer run(u)()
+	require.Eventually(t, func() bool { return int(u.Status().Charged) == taken }, 10*time.Second, time.Millisecond)
+	d, err := u.Digest(DigestAsk{})
+	require.NoError(t, err)
+	require.Equal(t, []ledger.Range{{First: 1, Last: uint64(taken)}}, d.Have[0].Ranges)
+}
+
 // A peer that gives what was not asked for, or what cannot be, is not believed.
 func TestNonsense(t *testing.T) {
 	l := &line{rng: rand.New(rand.NewPCG(1, 1)), ends: map[string]*Usage{}}
