Attempts are looked at as their first byte is written: leaving servers, gone clients, closed windows

A server is chosen in Router.place, and its request is written after a dial (up to the dial timeout, three times over in server.try), a rest of 15 ms (link.Write) and the actor's mailbox. Nothing on that way looked at the list again: Fleet.Update told the actor `draining`, which a server that streams did not even read, and `gone` only ended the mailbox. The same way lay open to a repeat whose window closed meanwhile (Router.mayUse looks when it decides), and to a client that had gone but whose word was still in the core's mailbox.

Now an attempt carries a gate of its server's process, shut by Fleet.Update in the core's own turn, and the moment by which it has to begin; node.Attempt.MayBegin is asked in link.Write under the link's lock, before the first byte. What is kept back is not_sent: free, and decided on anew.

Found beside it: HandBack(true) said 503, harmless, of unsafe and keyed requests of which an attempt may have run; it asks the module now. And a request that nothing may follow (unsafe after an attempt that may have run, keyed after its window) was kept until its time was up; it is answered at once.

Tests force the order: the first dial is held until the list, the client or the window has changed.

--- a/api.go
+++ b/api.go
@@ -260,6 +260,7 @@
 	Attempt int
 	Engine  string
 	Until   int64
+	By      int64 // Send: may not begin from then on; 0: until Until
 	Wait    int64
 	Token   int64
 	Peer    int
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -397,9 +397,8 @@
 			if c.Settings.Resume {
 				f.breakOff(ErrHandedBack)
 			}
-			if m.all && f.settle(Answer{Kind: TurnedDown, Wait: handBackWait}) {
-				c.decide(&standpoint.Left{Request: f.Request.ID})
-				c.forget(f)
+			if m.all {
+				c.giveBack(f)
 			}
 		}
 	case taken:
@@ -443,6 +442,19 @@
 	}
 }
 
+// giveBack ends a flow that this node cannot bring to an end. That trying again is harmless is said only where it is true: an
+// attempt may have run.
+func (c *Core) giveBack(f *Flow) {
+	answer := Answer{Kind: TurnedDown, Wait: handBackWait, Unsent: len(f.attempts) == 0}
+	if !c.router.MayShed(f.Request.ID) {
+		answer = Answer{Kind: Failed}
+	}
+	if f.settle(answer) {
+		c.decide(&standpoint.Left{Request: f.Request.ID})
+		c.forget(f)
+	}
+}
+
 // decide hands an event to the module and carries out what it wants, until nothing more follows.
 func (c *Core) decide(ev standpoint.Event) {
 	c.pending = append(c.pending, ev)
@@ -498,6 +510,9 @@
 	}
 	a := &Attempt{Flow: f, Leg: len(f.attempts), Server: act.Engine, Sent: time.Now(), Resumes: c.Settings.Resume, post: c.post}
 	a.Until = a.Sent.Add(time.Duration(act.Until - c.clock()))
+	if act.By != 0 {
+		a.By = a.Sent.Add(time.Duration(act.By - c.clock()))
+	}
 	refuse := f.isOver() || !a.Until.After(a.Sent) || c.attemptsSpent(f)
 	for _, other := range f.attempts {
 		refuse = refuse || other.out && !c.Settings.SecondCopies
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -88,6 +88,13 @@
 	ErrHandedBack = errors.New("handed back to the client, to go on elsewhere")
 )
 
+// Reasons for which an attempt that was decided on is not begun. What was true then may have changed on the way to the socket.
+var (
+	ErrLeaving = errors.New("the real server is to get nothing new")
+	ErrTooLate = errors.New("the time in which repeats are dropped is over")
+	ErrOver    = errors.New("the flow is over")
+)
+
 // Flow is one request taken on, which is owed one final answer.
 type Flow struct {
 	Request standpoint.Request
@@ -174,6 +181,11 @@
 	Server string
 	Until  time.Time
 	Sent   time.Time
+	// By is the moment from which the attempt may not begin any more; zero: none.
+	By time.Time
+	// Barred, if not nil, tells that its server may get nothing new. The actors of the real servers set it before the attempt
+	// is on its way.
+	Barred func() bool
 	// Resumes tells that the client, should the stream break, asks for the rest of it.
 	Resumes bool
 
@@ -215,6 +227,22 @@
 	Whole bool
 }
 
+// MayBegin tells whether the attempt may still begin: nil, or why not. It is asked as its first byte is about to be written,
+// for a server may be told to leave, a client go, and a window close, while a connection comes up.
+func (a *Attempt) MayBegin() error {
+	switch {
+	case a.ctx.Err() != nil:
+		return context.Cause(a.ctx)
+	case a.Flow.isOver():
+		return ErrOver
+	case a.Barred != nil && a.Barred():
+		return ErrLeaving
+	case !a.By.IsZero() && !time.Now().Before(a.By):
+		return ErrTooLate
+	}
+	return nil
+}
+
 // Context ends when the attempt is given up; its cause is one of the reasons above.
 func (a *Attempt) Context() context.Context { return a.ctx }
 
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -78,6 +78,8 @@
 	frozen   atomic.Bool   // nothing more is read here
 	leaves   time.Time     // until when what has come is still read of an answer that is handed back; zero: it is not
 	owed     int           // bytes of the request that are not written; its head counts as one until its end
+	may      func() error  // asked before a request's first byte is written; nil: it may
+	barred   bool          // it said no
 }
 
 // Read hands on the answer and nothing behind it.
@@ -181,10 +183,12 @@
 	return l.chunks, !l.lost && l.chunks.Phase > inHead && l.chunks.Phase < isOver
 }
 
-// begin tells that the next write is the first of a request with such a body. A server may answer before the last.
-func (l *link) begin(body int) {
+// begin tells that the next write is the first of a request with such a body, which may asks before it is done. A server may
+// answer before the last.
+func (l *link) begin(body int, may func() error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.may, l.barred = may, false
 	l.starts, l.headEnd, l.owed = true, 0, 1+body
 	l.chunks, l.lost = chunks{}, false
 }
@@ -231,6 +235,14 @@
 			l.spent = l.spent || l.rest > l.keep.now(l.most) || l.stirring()
 		}
 		l.starts, l.answered, l.matched, l.ended = false, false, 0, false
+		// The last moment at which the request can be kept back: the connection may have come up late.
+		if l.may != nil {
+			if err := l.may(); err != nil {
+				l.barred, l.spent = true, true
+				l.mu.Unlock()
+				return 0, err
+			}
+		}
 	}
 	spent := l.spent
 	l.mu.Unlock()
@@ -247,6 +259,13 @@
 	return n, err
 }
 
+// wasBarred tells that the request was kept back, and nothing of it written.
+func (l *link) wasBarred() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.barred
+}
+
 // sent tells that the request's last byte is written.
 func (l *link) sent() bool {
 	l.mu.Lock()
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -45,8 +45,10 @@
 	ConnIdle    time.Duration // the server closes a connection left idle for this long
 	MaxIdle     int           // connections kept to one real server between requests
 	Batch       BatchOptions  // for the real servers that take files
-	Wrote       func()        // an attempt is written whole; nil: nobody counts
-	Log         *zap.Logger
+	// Dial, if not nil, opens connections to servers that stream, in place of a plain dialer: tests hold them back by it.
+	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	Wrote func() // an attempt is written whole; nil: nobody counts
+	Log   *zap.Logger
 }
 
 // Fleet holds the actors of the real servers. Its methods are the core's, but for Adjust.
@@ -81,19 +83,30 @@
 			continue
 		}
 		if e.State != standpoint.Gone && e.Batch != s.batch { // another kind of server under the same name
+			s.gate.Store(true)
 			s.must(gone{})
 			f.servers[e.Name] = f.start(e)
 			continue
 		}
-		if e.Address != "" {
-			s.must(moved{e.Address, e.ReadyAt})
+		if at := (moved{e.Address, e.ReadyAt}); e.Address != "" && at != s.at {
+			s.must(at)
+			s.gate.Store(true) // what is on its way is the process's before
+			s.at, s.gate = at, new(atomic.Bool)
+		}
+		if e.State == standpoint.Ready && s.gate.Load() { // back, for what is decided on from now on
+			s.gate = new(atomic.Bool)
+		}
+		if e.State != standpoint.Ready {
+			s.gate.Store(true)
 		}
 		if e.State == standpoint.Draining {
 			s.must(draining{})
 		}
+		f.servers[e.Name] = s
 	}
 	for name, s := range f.servers {
 		if on, ok := listed[name]; ok && !on || !ok && l.Kind == standpoint.ListFull {
+			s.gate.Store(true)
 			s.must(gone{})
 			delete(f.servers, name)
 		}
@@ -101,13 +114,14 @@
 }
 
 func (f *Fleet) start(e node.ServiceEntry) actor {
-	a := actor{name: e.Name, batch: e.Batch, mail: make(chan any, mailboxSize), log: f.Log}
+	a := actor{name: e.Name, batch: e.Batch, mail: make(chan any, mailboxSize), log: f.Log, at: moved{e.Address, e.ReadyAt}, gate: new(atomic.Bool)}
+	a.gate.Store(e.State != standpoint.Ready)
 	if e.Batch {
 		s := &batchServer{Options: f.Options, actor: a, client: &http.Client{Transport: transport(f.Options, &keep{})},
 			out: map[*parcel]bool{}, ended: make(chan *parcel)}
 		go s.run(e.Address)
 	} else {
-		go (&server{f.Options, a, &keep{}, f.live}).run(moved{e.Address, e.ReadyAt})
+		go (&server{f.Options, a, &keep{}, f.live}).run(a.at)
 	}
 	return a
 }
@@ -127,7 +141,11 @@
 	f.mu.Lock()
 	s, known := f.servers[a.Server]
 	f.mu.Unlock()
-	return known && s.tell(a)
+	if !known {
+		return false
+	}
+	a.Barred = s.gate.Load
+	return s.tell(a)
 }
 
 // actor is the mailbox of one real server.
@@ -136,6 +154,8 @@
 	batch bool // takes files
 	mail  chan any
 	log   *zap.Logger
+	at    moved
+	gate  *atomic.Bool // shut, for good, to attempts that were decided on before its server was told to leave
 }
 
 type (
@@ -206,10 +226,13 @@
 }
 
 func transport(o Options, k *keep) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -268,12 +291,15 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			kept = info.Reused
 			if l, ok := info.Conn.(*link); ok {
-				l.begin(len(a.Flow.Work.Body))
+				l.begin(len(a.Flow.Work.Body), a.MayBegin)
 				used.Store(l)
 			}
 		}})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if err := a.MayBegin(); err != nil {
+		return notBegun(ctx), false, err
+	}
 	request, err := newRequest(ctx, address, a)
 	if err != nil {
 		return node.Result{Code: standpoint.NotSent}, false, err
@@ -281,6 +307,9 @@
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		l := used.Load()
+		if l != nil && l.wasBarred() {
+			return notBegun(ctx), kept, err
+		}
 		if l != nil && kept {
 			l.dropped()
 		}
@@ -304,6 +333,14 @@
 	return result, kept, fmt.Errorf("answered %s", response.Status)
 }
 
+// notBegun is the result of an attempt of which nothing was sent, for a reason that is not its server's.
+func notBegun(ctx context.Context) node.Result {
+	if ctx.Err() != nil {
+		return node.Result{Code: failure(ctx, false, nil)}
+	}
+	return node.Result{Code: standpoint.NotSent}
+}
+
 func newRequest(ctx context.Context, address string, a *node.Attempt) (*http.Request, error) {
 	work := &a.Flow.Work
 	request, err := http.NewRequestWithContext(ctx, work.Method, "http://"+address+work.Target,
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -68,7 +68,15 @@
 
 // StartLogged is Start with a log to look into.
 func StartLogged(t testing.TB, log *zap.Logger, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
-	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Log: log,
+	return StartDialing(t, log, settings, nil, entries...)
+}
+
+// Dial opens a connection to a real server.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// StartDialing is StartLogged with connections to real servers as dial opens them; nil: as always.
+func StartDialing(t testing.TB, log *zap.Logger, settings standpoint.Settings, dial Dial, entries ...node.ServiceEntry) *Node {
+	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Dial: dial, Log: log,
 		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
 	n := &Node{Life: &node.Life{}, t: t}
@@ -109,6 +117,38 @@
 	n.Core.News(node.List{Kind: standpoint.ListFull, Entries: entries})
 }
 
+// Heard waits until the node's core has taken in all that it was told before.
+func (n *Node) Heard() {
+	require.NotNil(n.t, n.Core.Learned(n.t.Context()))
+}
+
+// HeldDials is a Dial whose connections come up and are then held back, for so many of the first dials. Each tells its address on
+// Up, and goes on when Go gets one.
+type HeldDials struct {
+	Up chan string
+	Go chan struct{}
+
+	left atomic.Int32
+}
+
+// HoldDials holds the first n dials back.
+func HoldDials(n int) *HeldDials {
+	h := &HeldDials{Up: make(chan string, n), Go: make(chan struct{}, n)}
+	h.left.Store(int32(n))
+	return h
+}
+
+// Dial implements Dial.
+func (h *HeldDials) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+	if err != nil || h.left.Add(-1) < 0 {
+		return c, err
+	}
+	h.Up <- address
+	<-h.Go
+	return c, nil
+}
+
 // Entry is a ready service entry.
 func Entry(name, address string) node.ServiceEntry {
 	return node.ServiceEntry{Address: address, Engine: standpoint.Engine{Name: name, Size: 1}}
--- a/router.go
+++ b/router.go
@@ -89,17 +89,14 @@
 func New(settings Settings, seed int64) *Router {
 	r := &Router{set: settings, rng: rand.New(rand.NewPCG(uint64(seed), sessionSalt)), lost: map[int]int{},
 		engines: map[string]*engine{}, open: map[int64]*request{}, retries: retryBurst, trust: 1,
-		tenants: make([]tenantRate, len(settings.Tenants)),
-		gain:    make([]float64, len(settings.Classes)+1), cuts: make([]float64, len(settings.Classes)+1),
+		tenants: make([]tenantRate, len(settings.Tenants)), cuts: make([]float64, len(settings.Classes)+1),
+		gain: slices.Repeat([]float64{0.5}, len(settings.Classes)+1),
 		ttft: make([]model, settings.Kinds+1), pace: make([]model, settings.Kinds+1),
 		gaps: make([]mean, len(settings.Classes)+1), gap: gapStart}
 	if aim := r.leastPace(); aim > 0 {
 		r.gap = gapShare * aim
 	}
 	r.table[0], r.table[1] = map[uint64]kept{}, map[uint64]kept{}
-	for i := range r.gain {
-		r.gain[i] = 0.5
-	}
 	for i := range r.ttft {
 		r.ttft[i].init(ttftPrior)
 		r.pace[i].init(pacePrior)
@@ -268,7 +265,7 @@
 	if q.done || q.begun != nil {
 		return
 	}
-	if len(q.attempts) >= max(1, r.set.MaxAttempts) || r.hopeless(q) {
+	if len(q.attempts) >= max(1, r.set.MaxAttempts) || r.hopeless(q) || r.barred(q) {
 		r.end(q)
 		return
 	}
@@ -300,7 +297,7 @@
 		e.coldTokens--
 	}
 	r.remember(q, e, q.PromptTokens)
-	r.do(Action{Kind: Send, Request: q.ID, Engine: e.Name, Until: q.Expires})
+	r.do(Action{Kind: Send, Request: q.ID, Engine: e.Name, Until: q.Expires, By: r.begunBy(q)})
 }
 
 func (r *Router) onFirst(ev *FirstToken) {
@@ -376,11 +373,14 @@
 	if q.outstanding() > 0 {
 		return
 	}
-	if r.now >= q.Expires-2*r.set.Tick || r.hopeless(q) || r.retries < 1 && code != NoConnection {
+	poor := r.retries < 1 && code != NoConnection && code != NotSent
+	if poor || r.now >= q.Expires-2*r.set.Tick || r.hopeless(q) {
 		r.end(q)
 		return
 	}
-	r.retries--
+	if code != NotSent { // that cost nobody anything
+		r.retries--
+	}
 	r.place(q)
 }
 
--- a/state.go
+++ b/state.go
@@ -572,3 +572,29 @@
 	}
 	return slices.DeleteFunc(slices.Clone(r.ready), func(o *engine) bool { return o.Zone != e.Zone && o != e })
 }
+
+// barred tells that no attempt may follow, wherever: one may have run whose class must not be repeated, or not any more.
+func (r *Router) barred(q *request) bool {
+	c := r.class(q)
+	return q.outstanding() == 0 && slices.ContainsFunc(q.attempts, func(a *attempt) bool {
+		return a.ran && (c.Effect == Unsafe || c.Effect == Keyed && r.now-a.sent >= c.Window)
+	})
+}
+
+// begunBy is the moment from which a further attempt of the request may not begin any more; 0: there is none. A repeat that is
+// decided on in time may still be on its way to a connection when the window closes.
+func (r *Router) begunBy(q *request) int64 {
+	by, c := int64(0), r.class(q)
+	for _, a := range q.attempts {
+		if until := a.sent + c.Window - 2*r.set.Tick; a.ran && !a.out && c.Effect == Keyed && (by == 0 || until < by) {
+			by = until
+		}
+	}
+	return by
+}
+
+// MayShed tells whether it is true of an open request that trying it again is harmless.
+func (r *Router) MayShed(id int64) bool {
+	q := r.open[id]
+	return q == nil || r.mayShed(q)
+}
