Discovery: a call that comes to nothing is made anew by the watcher itself, told within 6 s

Seen: a call that failed, was refused or given up left the next one to the module's wish, 0.5 s to 8 s later and half as much drawn on top (Router.ask), behind a second silent watch too, 10 s after the first fell silent.

At fault: Watcher.watch, which left off and told ListLost, and watchWait 4 s with two whole waits for a watch that falls silent twice. Now the watcher goes on by itself for both kinds of lists, with rests of 50 ms doubled to 1.5 s, half of them drawn (at most half of the grace for drains where lists are pushed, for there a change counts at once), and behind a call that came to nothing it has discovery wait for 0.5 s only. The first wish starts it; later ones change nothing.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -21,7 +21,10 @@
 	"standpoint/internal/store"
 )
 
-const uploadTime = 2 * time.Minute // of a batch file
+const (
+	uploadTime  = 2 * time.Minute       // of a batch file
+	pushedLeast = 20 * time.Millisecond // between two calls to a discovery that pushes, and does not answer
+)
 
 func memoryPart(a *assembly) (part, error) {
 	a.keys = store.NewMemory()
@@ -95,7 +98,9 @@
 		a.news(l)
 		a.first.Do(func() { close(a.heard) })
 	}, a.log)
-	watcher.Pushed = !cfg.Settings.AskDiscovery
+	if !cfg.Settings.AskDiscovery { // what comes back with discovery counts at once, and is to be heard well within the grace
+		watcher.Pushed = max(pushedLeast, time.Duration(cfg.Settings.DrainGrace)/2)
+	}
 	if a.others > 0 { // who serves meanwhile knows a newer one than what this process was started with
 		watcher.Anew()
 	}
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -23,19 +23,21 @@
 )
 
 const (
-	// A watch that has fallen silent looks like one with nothing new until its wait is over: what it missed counts as told
-	// 2 s after that wait, and 6 s after it fell silent at the earliest. The wait is as short as keeps the second from being
-	// later than the first, and what is left of the 2 s is for asking anew.
-	watchWait    = 4 * time.Second        // asked of discovery
-	watchSlack   = time.Second            // beyond which a watch without an answer has fallen silent
-	silentJitter = 300 * time.Millisecond // at the most, before it is opened anew: many fall silent at once
-	wholeTime    = 2 * time.Second        // for the whole list of a new discovery
-	bodyMost     = 4 << 20
-	sizeMost     = 1e6 // of a box, in the list's own unit
-	bornMost     = math.MaxInt64 / int64(time.Millisecond)
+	// What discovery has counts as told 6 s after it had it and could be reached, whatever call fell silent, failed or was given
+	// up meanwhile. From any moment in which discovery can be reached there are at least two calls in that time, even if the
+	// first falls silent: a wait and its slack, a rest, a short call and its slack, and a rest again.
+	watchWait  = 2 * time.Second        // asked of discovery while all is well
+	anewWait   = 500 * time.Millisecond // and behind a call that came to nothing: the answer soon shows that discovery is back
+	watchSlack = time.Second            // beyond a wait; without an answer by then the call has fallen silent
+	wholeTime  = 1500 * time.Millisecond
+	dialTime   = 500 * time.Millisecond
+	bodyMost   = 4 << 20
+	sizeMost   = 1e6 // of a box, in the list's own unit
+	bornMost   = math.MaxInt64 / int64(time.Millisecond)
 
-	moveRest     = 50 * time.Millisecond // after a call to a new discovery that failed; doubled each time
-	moveRestMost = 500 * time.Millisecond
+	restLeast = 50 * time.Millisecond   // behind the first call that came to nothing; doubled each time
+	restMost  = 1500 * time.Millisecond // many nodes ask one discovery
+	moveMost  = 500 * time.Millisecond  // of a new discovery, which counts as heard 4 s after the move
 )
 
 // Names turns the list's words into the module's indexes.
@@ -120,19 +122,19 @@
 	wish  chan struct{}
 	moves chan place
 
-	// Pushed, set before Run, tells that what discovery has counts as told whether this node asks or not: the watch then
-	// stands from the first moment on, whatever is wished for, and is opened anew as soon as it breaks.
-	Pushed bool
+	// Pushed, set before Run, is for how long at the most the node rests between two calls where what discovery has counts as
+	// told whether this node asks or not; the watch then stands from the first moment on, whatever is wished for. 0: lists
+	// are asked for.
+	Pushed time.Duration
 
 	wait, slack time.Duration // watchWait and watchSlack, but in tests
 
 	// The actor's alone.
-	at     place
-	http   *http.Client
-	seq    int64 // version of the list held; it says nothing to another discovery
-	moved  bool  // the list held is another discovery's
-	fails  int   // calls in a row that failed since the move, or at all where lists are pushed
-	silent bool  // the latest call got no answer at all
+	at    place
+	http  *http.Client
+	seq   int64 // version of the list held; it says nothing to another discovery
+	moved bool  // the list held is another discovery's
+	fails int   // calls in a row that came to nothing
 }
 
 // place is where the list is had, and its words.
@@ -153,14 +155,14 @@
 	// Each call has a connection of its own: what comes behind an answer, late or at once, is nobody's, and an answer that
 	// belongs to the call before must not be taken for news.
 	return &http.Client{Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
+		DialContext:        (&net.Dialer{Timeout: dialTime, KeepAlive: -1}).DialContext,
 		DisableCompression: true, DisableKeepAlives: true}}
 }
 
 // Anew has the first call ask for the whole list, however new the one that is held: the answer does not wait for a change.
 func (w *Watcher) Anew() { w.moved = true }
 
-// Watch asks for a standing watch, without waiting.
+// Watch asks for a standing watch, without waiting; once it stands that changes nothing.
 func (w *Watcher) Watch() {
 	select {
 	case w.wish <- struct{}{}:
@@ -177,14 +179,10 @@
 	w.moves <- place{listAt(address), names}
 }
 
-// Run keeps a watch standing once it is wished for. After a failed call the core is told, and its next
-// wish, which backs off, starts a new watch. After a move, and where lists are pushed, the actor does not wait for a wish:
-// it asks until it has the whole list of the new discovery, and goes on with that one's watch.
+// Run keeps a watch standing from the first wish, or move, on; where lists are pushed from the start. It never leaves off: the
+// core need not ask for it again, and hears nothing of calls that came to nothing.
 func (w *Watcher) Run(ctx context.Context) {
-	if w.Pushed {
-		w.Watch()
-	}
-	for {
+	if w.Pushed == 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -192,71 +190,71 @@
 			w.move(to)
 		case <-w.wish:
 		}
-		w.watch(ctx)
+	}
+	for ctx.Err() == nil {
+		w.call(ctx)
 	}
 }
 
-// watch calls until a call fails. The next call must follow within 200 ms of each answer, so nothing is done in
-// between but handing on the news. A call that gets no answer at all is a watch that has fallen silent: half open, or
-// forgotten by discovery. It is opened anew at once, on another connection, for what it missed counts as told soon; if
-// that one is silent too it is discovery that does not answer, and the call has failed.
-func (w *Watcher) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		call, stop := context.WithCancel(ctx)
-		type answer struct {
-			list node.List
-			seq  int64
-			err  error
-		}
-		answers := make(chan answer, 1)
-		go func(at place, after int64, whole bool) {
-			seq, l, err := w.ask(call, w.http, at, after, whole)
-			answers <- answer{l, seq, err}
-		}(w.at, w.seq, w.moved)
-		select {
-		case to := <-w.moves:
-			stop()
-			<-answers
-			w.move(to)
-			continue
-		case a := <-answers:
-			stop()
-			switch {
-			case ctx.Err() != nil:
-				return
-			case a.err == nil:
-				w.seq, w.moved, w.fails, w.silent = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0, false
-				w.news(a.list)
-			case errors.Is(a.err, context.DeadlineExceeded) && !w.silent && !w.moved:
-				w.log.Info("the watch fell silent, and is opened anew", zap.Error(a.err))
-				w.silent = true
-				w.sleep(ctx, rand.N(silentJitter))
-			case w.moved || w.Pushed || errors.Is(a.err, errOlder):
-				w.moved = w.moved || errors.Is(a.err, errOlder)
-				w.log.Info("discovery gave no list", zap.Error(a.err))
-				w.rest(ctx)
-			default:
-				w.silent = false
-				w.log.Info("watch failed", zap.Error(a.err))
-				w.drop()
-				w.news(node.List{Kind: standpoint.ListLost})
-				return
-			}
+// call calls once. The next call must follow within 200 ms of each answer, so nothing is done behind one but handing on the
+// news. One without an answer has fallen silent: half open, or forgotten by discovery. Like one that failed or was refused it is
+// made anew behind a short rest, on another connection.
+func (w *Watcher) call(ctx context.Context) {
+	call, stop := context.WithCancel(ctx)
+	defer stop()
+	type answer struct {
+		list node.List
+		seq  int64
+		err  error
+	}
+	answers := make(chan answer, 1)
+	go func(at place, after int64, whole bool, wait time.Duration) {
+		seq, l, err := w.ask(call, w.http, at, after, whole, wait)
+		answers <- answer{l, seq, err}
+	}(w.at, w.seq, w.moved, w.nextWait())
+	select {
+	case to := <-w.moves:
+		stop()
+		<-answers
+		w.move(to)
+	case a := <-answers:
+		switch {
+		case ctx.Err() != nil:
+		case a.err == nil:
+			w.seq, w.moved, w.fails = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0
+			w.news(a.list)
+		default:
+			w.moved = w.moved || errors.Is(a.err, errOlder)
+			w.log.Info("discovery gave no list", zap.Error(a.err))
+			w.rest(ctx)
 		}
 	}
 }
 
+// nextWait is for how long the next call has discovery wait for news.
+func (w *Watcher) nextWait() time.Duration {
+	if w.fails > 0 {
+		return min(w.wait, anewWait)
+	}
+	return w.wait
+}
+
 func (w *Watcher) move(to place) {
 	w.log.Info("discovery moved", zap.String("to", to.base))
 	w.http.CloseIdleConnections()
 	w.http = caller()
-	w.at, w.moved, w.fails, w.silent = to, true, 0, false
+	w.at, w.moved, w.fails = to, true, 0
 }
 
-// rest waits before the next call to a new discovery, or to one that pushes: briefly, for what it has to tell soon
-// counts as told. Half of it is drawn, for all nodes of a fleet may wait together.
+// rest waits before the call behind one that came to nothing. Half of it is drawn, for all nodes of a fleet may wait together.
 func (w *Watcher) rest(ctx context.Context) {
-	most := min(moveRestMost, moveRest<<min(w.fails, 4))
+	most := min(restMost, restLeast<<min(w.fails, 6))
+	switch {
+	case w.Pushed > 0:
+		most = min(most, w.Pushed)
+	case w.moved:
+		most = min(most, moveMost)
+	}
 	w.fails++
 	w.sleep(ctx, most/2+rand.N(most/2))
 }
@@ -273,24 +271,16 @@
 	}
 }
 
-// drop forgets wishes from before a failure: the core asks anew when it is time.
-func (w *Watcher) drop() {
-	select {
-	case <-w.wish:
-	default:
-	}
-}
-
 // errOlder is that of a discovery whose versions have begun anew: what it tells as changes is none of the list held.
 var errOlder = errors.New("discovery told changes of an older list")
 
-// ask calls once: for the whole list, or for what is newer than the version held.
-func (w *Watcher) ask(ctx context.Context, client *http.Client, at place, after int64, whole bool) (int64, node.List, error) {
+// ask calls once: for the whole list, or for what is newer than the version held, within the wait.
+func (w *Watcher) ask(ctx context.Context, client *http.Client, at place, after int64, whole bool, wait time.Duration) (int64, node.List, error) {
 	target, most := at.base, wholeTime
 	if !whole {
 		target += "?" + url.Values{"after": {strconv.FormatInt(after, 10)},
-			"wait_ms": {strconv.FormatInt(w.wait.Milliseconds(), 10)}}.Encode()
-		most = w.wait + w.slack
+			"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}.Encode()
+		most = wait + w.slack
 	}
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
