Edge: connections end without losing what was read on them; clients that leave behind extra bytes are noticed

Read in the code, each a moment between two lines of net/http: - Server.Shutdown and SetKeepAlivesEnabled close what is marked as resting, while its reader may have taken a request from the socket; Room.Clear closed connections of which a head had come in part. What was read got no answer. - conn.serve drops a request that it has read once Shutdown was called: the first one of a connection accepted before, or the next of a connection that stays open. - Behind an open request the server reads one byte and then looks no further: with one extra byte, or a request sent ahead, a client that left was not noticed, and its request was sent on when a connection came up. A client that only ended its sending got an empty 200. - A close over bytes that nobody has read resets the connection, and what the client has not taken of its answer goes with it.

Now a place (place.go) decides under its own lock: either nothing of a request has been read, and its read ends by its deadline, or it has, and whoever wanted it to go was too late. Room.Leave takes the place of Shutdown. A place reads ahead behind an open request, at most a request's megabyte and 8 MB of all; answers say that the connection ends only where nothing has come ahead; a close behind an answer over unread bytes ends the sending first.

moments_test.go forces each order on real sockets: reads are held between the system's and the server's, dials until the client has gone. Ruled out: looking for the hang-up by poll behind unread bytes, for the end of such a connection stays with its sender while the window is shut.

--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
@@ -244,7 +243,7 @@
 
 // handOver leads the program to its end while another process serves at the same socket. It stops accepting before it
 // closes anything: what connects from then on is the other's.
-func (a *assembly) handOver(server *http.Server, room *edge.Room, killed time.Duration, log *zap.Logger) error {
+func (a *assembly) handOver(room *edge.Room, killed time.Duration, log *zap.Logger) error {
 	if err := a.life.Move(node.HandingOver); err != nil {
 		return err
 	}
@@ -252,7 +251,7 @@
 	if err := room.Close(); err != nil {
 		log.Warn("the listening socket", zap.Error(err))
 	}
-	room.SendAway(true, server)
+	room.SendAway(true)
 	most := shutdownTime
 	if killed > 0 {
 		most = killed
@@ -260,5 +259,5 @@
 	defer time.AfterFunc(most-killMargin, func() { a.core.HandBack(true) }).Stop()
 	defer time.AfterFunc(moveTime, func() { a.moveAll(log) }).Stop()
 	time.Sleep(partTime) // Shutdown ends at once what rests; a client that asks again and again leaves with its next answer
-	return a.shut(server, most-partTime-leaveMargin, log)
+	return a.shut(room, most-partTime-leaveMargin, log)
 }
--- a/internal/daemon/consolepart.go
+++ b/internal/daemon/consolepart.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 
 	"go.uber.org/zap"
 
@@ -87,7 +86,7 @@
 }
 
 // sendAway carries the wish out. Clients of a node that was told to stop are sent away already, for good.
-func (a *assembly) sendAway(away bool, room *edge.Room, server *http.Server, log *zap.Logger) error {
+func (a *assembly) sendAway(away bool, room *edge.Room, log *zap.Logger) error {
 	switch phase := a.life.Now(); {
 	case phase > node.DrainedByHand && !away:
 		return console.ErrNotNow
@@ -101,7 +100,7 @@
 	if err := a.life.Move(to); err != nil {
 		return err
 	}
-	room.SendAway(away, server)
+	room.SendAway(away)
 	log.Info("staff changed the phase", zap.Stringer("phase", to), zap.Int("open", a.core.Open()))
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -121,10 +120,10 @@
 			told = nil
 			killed := a.now.killed
 			if a.inherits() && a.share != nil && a.share.Others() > 0 {
-				go func() { ended <- a.handOver(server, room, killed, log) }()
+				go func() { ended <- a.handOver(room, killed, log) }()
 				continue
 			}
-			go func() { ended <- a.drain(server, room, killed, shutdownTime, log) }()
+			go func() { ended <- a.drain(room, killed, shutdownTime, log) }()
 		case n := <-a.company:
 			a.among(n, room, log)
 		case err := <-ended:
@@ -132,7 +131,7 @@
 		case <-hangup:
 			_ = a.takeOn(o.File, room, log) // logged, and nothing has changed
 		case o := <-a.orders:
-			o.done <- a.sendAway(o.away, room, server, log)
+			o.done <- a.sendAway(o.away, room, log)
 		case w := <-a.wishes:
 			w.done <- a.carryOut(w, o.File, room, log)
 		}
@@ -224,7 +223,7 @@
 // drain leads the program to its end: it goes on accepting while clients may still come, then closes the listener
 // and waits for what it took. What the platform will cut is handed back in time; where nobody cuts, what is left after
 // most is answered in the same way.
-func (a *assembly) drain(server *http.Server, room *edge.Room, killed, most time.Duration, log *zap.Logger) error {
+func (a *assembly) drain(room *edge.Room, killed, most time.Duration, log *zap.Logger) error {
 	if err := a.life.Move(node.Draining); err != nil {
 		return err
 	}
@@ -237,14 +236,14 @@
 	}
 	defer time.AfterFunc(last-killMargin, func() { a.core.HandBack(true) }).Stop()
 	time.Sleep(lateClients)
-	return a.shut(server, most, log)
+	return a.shut(room, most, log)
 }
 
 // shut waits for what was taken, and ends the program's life.
-func (a *assembly) shut(server *http.Server, most time.Duration, log *zap.Logger) error {
+func (a *assembly) shut(room *edge.Room, most time.Duration, log *zap.Logger) error {
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := room.Leave(ctx)
 	over := make(chan struct{})
 	go func() {
 		a.adopted.Wait()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -187,7 +187,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		<-came
-		ended <- a.drain(n.Server, n.Room, 0, 1500*time.Millisecond, zap.NewNop())
+		ended <- a.drain(n.Room, 0, 1500*time.Millisecond, zap.NewNop())
 	}()
 	status, header, _, err := n.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Expires-In", "60000m") }))
 	require.NoError(t, err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,6 +65,12 @@
 		if r.Body == http.NoBody {
 			cameWhole(r)
 		}
+		if p, ok := r.Context().Value(placeKey{}).(*place); ok {
+			ctx, left := context.WithCancel(r.Context())
+			defer left()
+			defer p.watch(left)()
+			r = r.WithContext(ctx)
+		}
 		if room.filling() {
 			w.Header().Set("Connection", "close")
 		}
@@ -100,9 +106,9 @@
 	return m
 }
 
-func (f *Front) health(w http.ResponseWriter, _ *http.Request) {
+func (f *Front) health(w http.ResponseWriter, r *http.Request) {
 	phase := f.Life.Now()
-	f.parting(w, phase)
+	f.parting(w, r, phase)
 	if phase != node.Serving && phase != node.HandingOver { // handing over, it is another process of this node that serves
 		refuse(w, http.StatusServiceUnavailable, "node is "+phase.String())
 		return
@@ -111,8 +117,13 @@
 }
 
 // parting has an answer end its connection once clients are to go elsewhere: they would go on using those that stay open.
-func (f *Front) parting(w http.ResponseWriter, phase node.Phase) {
-	if phase > node.Serving {
+func (f *Front) parting(w http.ResponseWriter, r *http.Request, phase node.Phase) {
+	p, ok := r.Context().Value(placeKey{}).(*place)
+	switch {
+	case phase <= node.Serving:
+	case ok && p.saidMore(): // the next request has come already, and would be read and not answered
+		w.Header().Del("Connection")
+	default:
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -163,7 +174,7 @@
 func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	control := http.NewResponseController(w)
-	f.parting(w, f.Life.Now())
+	f.parting(w, r, f.Life.Now())
 	request, err := f.decode(r, began)
 	if err == nil {
 		of := &counted{ReadCloser: r.Body, bodies: f.Bodies, tenant: request.Tenant}
@@ -177,7 +188,7 @@
 			// readTime is for the request; from here on the server must be able to notice a client that leaves.
 			_ = control.SetReadDeadline(time.Time{})
 			phase, since := f.Life.Since()
-			if f.parting(w, phase); phase == node.DrainedByHand && time.Since(since) > awayTime {
+			if f.parting(w, r, phase); phase == node.DrainedByHand && time.Since(since) > awayTime {
 				f.ended(r, figures.Busy)
 				turnDown(w, busyWait)
 				return
@@ -222,7 +233,8 @@
 	request standpoint.Request, body []byte) {
 	work := node.Work{Method: r.Method, Target: r.URL.RequestURI(), TraceID: r.Header.Get("X-Trace-Id"),
 		ContentType: r.Header.Get("Content-Type"), Body: body}
-	flow := node.NewFlow(request, work, &connection{w: w, control: control, chunked: r.ProtoAtLeast(1, 1)})
+	at, _ := r.Context().Value(placeKey{}).(*place)
+	flow := node.NewFlow(request, work, &connection{w: w, control: control, place: at, chunked: r.ProtoAtLeast(1, 1)})
 	if answered := f.session(w, r, flow); answered {
 		return
 	}
@@ -233,9 +245,9 @@
 	switch answer.Kind {
 	case node.Served:
 		_ = control.SetWriteDeadline(time.Now().Add(writeTime)) // the last chunk has its own time, whatever the events took
-	case node.ClientGone, node.Moved:
-	case node.Broken:
-		panic(http.ErrAbortHandler) // the connection ends without the last chunk
+	case node.Moved:
+	case node.Broken, node.ClientGone:
+		panic(http.ErrAbortHandler) // the connection ends without the last chunk, or any answer: an empty one would be nobody's
 	case node.TurnedDown:
 		turnDown(w, answer.Wait)
 	case node.Rejected:
@@ -452,7 +464,8 @@
 type connection struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	chunked bool // the client takes chunks
+	place   *place // nil: none that the room holds
+	chunked bool   // the client takes chunks
 	patience
 }
 
--- a/internal/edge/moving.go
+++ b/internal/edge/moving.go
@@ -20,6 +20,9 @@
 	if !c.chunked {
 		return 0, errors.New("a client that does not take chunks")
 	}
+	if c.place != nil && c.place.saidMore() {
+		return 0, errors.New("a client that has said more already")
+	}
 	conn, buffered, err := c.control.Hijack()
 	if err != nil {
 		return 0, err
--- a/internal/edge/operating_test.go
+++ b/internal/edge/operating_test.go
@@ -151,8 +151,8 @@
 	asks, asksIn := idle(t, n, "asks")
 	silent := n.Dial()
 	require.NoError(t, n.Life.Move(node.DrainedByHand))
-	n.Room.SendAway(true, n.Server)
-	n.Room.SendAway(true, n.Server) // the call may be repeated
+	n.Room.SendAway(true)
+	n.Room.SendAway(true) // the call may be repeated
 	began := time.Now()
 	require.Equal(t, http.StatusServiceUnavailable, health())
 	last := askOn(t, n, asks, asksIn, "last")
@@ -182,7 +182,7 @@
 	require.NoError(t, err)
 	require.Less(t, time.Since(began), 200*time.Millisecond)
 	require.NoError(t, n.Life.Move(node.Serving))
-	n.Room.SendAway(false, n.Server)
+	n.Room.SendAway(false)
 	require.Equal(t, http.StatusOK, health())
 	idle(t, n, "again")
 	time.Sleep(600 * time.Millisecond) // longer than a connection rests while clients are sent away
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -1,10 +1,10 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +25,9 @@
 	// word, so that their clients, who connect anew at once, do not come back before the front has noticed.
 	awayRest = 400 * time.Millisecond
 	awayLook = 50 * time.Millisecond
+	// While the node ends, between two looks for connections that have come to rest.
+	leaveLook = 10 * time.Millisecond
+	clearTime = 30 * time.Millisecond // for the rest of a request that comes as connections are cleared
 )
 
 // Room is the listener's side of the edge connections: it keeps them within their share of the descriptors.
@@ -39,157 +42,146 @@
 	closed chan struct{}
 	once   sync.Once
 
+	lingers atomic.Int32 // connections that end slowly
+	ahead   atomic.Int64 // bytes read behind open requests
+
 	freed chan struct{} // holds one sign that a place has been given up
 
 	mu      sync.Mutex
 	places  map[*place]bool
 	leaving int           // of these, those asked to go
 	away    chan struct{} // closed when clients need not go any longer; nil: they need not
+	ending  bool          // connections end with their answers
 	said    time.Time
 	log     *zap.Logger
 }
 
-// place is one edge connection. busy: a request is open on it, else it has rested since then.
-type place struct {
-	net.Conn
-	heard         atomic.Bool // something has come on it
-	busy, leaving bool
-	asked         bool // a whole head has come on it
-	cleared       bool // closed because the node stops
-	answered      atomic.Bool
-	gone          atomic.Bool // its client has ended it
-	late          atomic.Bool // its time to be read from is over
-	head          head        // of the request that comes
-	since         time.Time
-}
-
-func (p *place) Read(b []byte) (int, error) {
-	n, err := p.Conn.Read(b)
-	if n > 0 && !p.heard.Load() {
-		p.heard.Store(true)
-	}
-	p.head.note(b[:n])
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		p.late.Store(true)
-	case err != nil && !errors.Is(err, net.ErrClosed):
-		p.gone.Store(true)
-	}
-	return n, err
-}
-
-func (p *place) Write(b []byte) (int, error) {
-	if !p.answered.Load() {
-		p.answered.Store(true)
-	}
-	return p.Conn.Write(b)
-}
-
-// unheard says why a connection was closed by this node with no answer; false: it was not.
-func (p *place) unheard(stopping bool) (figures.Unheard, bool) {
-	switch {
-	case p.answered.Load() || p.gone.Load():
-		return 0, false
-	case stopping || p.cleared:
-		return figures.Stopping, true
-	case p.leaving:
-		return figures.NoRoom, true
-	case p.late.Load():
-		return figures.SlowHead, true
-	}
-	return figures.Unread, true
-}
-
-// mayGo tells that the connection has rested for long enough to be closed where places are short.
-func (p *place) mayGo(now time.Time) bool {
-	rest := restTime
-	if !p.heard.Load() {
-		rest = silentTime
-	}
-	return !p.busy && !p.leaving && now.Sub(p.since) >= rest
-}
-
 // NewRoom wraps a listener; the server's ConnState must be the room's Note.
 func NewRoom(l net.Listener, most int, log *zap.Logger) *Room {
 	return &Room{Listener: l, most: most, log: log, closed: make(chan struct{}),
 		freed: make(chan struct{}, 1), places: map[*place]bool{}}
 }
 
-// SendAway has the server's connections that rest end, until it is told that clients may stay, or the last one of a closed
-// room went.
-func (r *Room) SendAway(on bool, server *http.Server) {
+// SendAway has the connections that rest end, until it is told that clients may stay, or the last one of a closed room went.
+func (r *Room) SendAway(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case on && r.away == nil:
 		r.away = make(chan struct{})
-		go r.sweep(time.Now(), r.away, server)
+		go r.sweep(time.Now(), r.away)
 	case !on && r.away != nil:
 		close(r.away)
-		r.away = nil
-		server.SetKeepAlivesEnabled(true)
+		r.away, r.ending = nil, false
 	}
 }
 
-// sweep closes what rests once the time for it has come. An answer that began before the word could not say that its
-// connection ends: without keep-alive that ends with the answer, and does not come to rest at all.
-func (r *Room) sweep(from time.Time, end <-chan struct{}, server *http.Server) {
+// sweep ends what rests once the time for it has come. An answer that began before the word could not say that its connection
+// ends: from then on that ends with the answer.
+func (r *Room) sweep(from time.Time, stop <-chan struct{}) {
 	tick := time.NewTicker(awayLook)
 	defer tick.Stop()
 	for {
 		select {
-		case <-end:
+		case <-stop:
 			return
 		case now := <-tick.C:
 			if now.Sub(from) < awayRest {
 				continue
 			}
-			r.mu.Lock()
-			select {
-			case <-end:
-				r.mu.Unlock()
+			if r.endRests(now, awayRest, stop) == 0 && r.isClosed() {
 				return
-			default:
-			}
-			server.SetKeepAlivesEnabled(false)
-			for p := range r.places {
-				if !p.busy && !p.leaving && now.Sub(p.since) >= awayRest {
-					r.ask(p, now)
-				}
-			}
-			last := len(r.places) == 0
-			r.mu.Unlock()
-			select {
-			case <-r.closed:
-				if last {
-					return
-				}
-			default:
 			}
 		}
 	}
 }
 
-// ask has a connection that rests end. It is not closed: a request that the server has begun to read is still answered.
+// endRests ends the connections that have rested for so long, and tells how many there are.
+func (r *Room) endRests(now time.Time, rest time.Duration, stop <-chan struct{}) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-stop:
+		return len(r.places)
+	default:
+	}
+	r.ending = true
+	for p := range r.places {
+		if !p.busy && !p.leaving && (p.asked || r.away != nil) && now.Sub(p.since) >= rest {
+			r.ask(p, now)
+		}
+	}
+	return len(r.places)
+}
+
+// Leave closes the room, and has every connection end on which no request is open, until none is left or ctx ends. What has come of
+// a request is read on and answered. One on which nothing has come at all may stay until it is shut out: its client may be about to
+// send.
+func (r *Room) Leave(ctx context.Context) error {
+	if err := r.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	tick := time.NewTicker(leaveLook)
+	defer tick.Stop()
+	for r.endRests(time.Now(), 0, nil) > 0 || r.lingers.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+func (r *Room) isClosed() bool {
+	select {
+	case <-r.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// ask has a connection that rests end, unless something of a request has come. It is not closed: the server does so once it has
+// found that nothing comes any more.
 func (r *Room) ask(p *place, now time.Time) {
-	p.leaving = true
-	r.leaving++
-	_ = p.SetReadDeadline(now)
+	if p.end(now) {
+		p.leaving = true
+		r.leaving++
+	}
 }
 
-// Clear closes the connections on which no request is open. A request that crosses that comes again elsewhere; one that
-// came a moment before the process is killed would get no answer.
+// Clear ends the connections on which no request is open. A request that crosses that comes again elsewhere; one that came a moment
+// before the process is killed would get no answer. One of which something has come is given a moment to be whole.
 func (r *Room) Clear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for p := range r.places {
-		if !p.busy {
+		switch {
+		case p.busy:
+		case p.end(now):
+			p.cleared = true
+		default:
 			p.cleared = true
-			_ = p.Conn.Close()
+			_ = p.Conn.SetReadDeadline(now.Add(clearTime))
 		}
 	}
 }
 
+// linger takes one of the few places for connections that end slowly, where a request has been open until now; lingered gives it back.
+func (r *Room) linger(p *place) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !p.busy || r.lingers.Load() >= lingerMost {
+		return false
+	}
+	r.lingers.Add(1)
+	return true
+}
+
+func (r *Room) lingered() { r.lingers.Add(-1) }
+
 // Resize changes how many connections there may be.
 func (r *Room) Resize(most int) {
 	r.mu.Lock()
@@ -213,7 +205,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := &place{Conn: c, since: time.Now()}
+	p := &place{Conn: c, room: r, since: time.Now()}
 	r.places[p] = true
 	return p, nil
 }
@@ -281,13 +273,7 @@
 
 // count counts a connection that ends without an answer.
 func (r *Room) count(p *place) {
-	stopping := r.away != nil
-	select {
-	case <-r.closed:
-		stopping = true
-	default:
-	}
-	if why, ok := p.unheard(stopping); ok {
+	if why, ok := p.unheard(r.away != nil || r.isClosed()); ok {
 		r.Figures.ClosedUnheard(why)
 	}
 }
@@ -313,6 +299,10 @@
 	case http.StateIdle:
 		p.busy, p.since = false, time.Now()
 		p.head.rests()
+		p.rests()
+		if r.ending {
+			r.ask(p, p.since)
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(r.places, p)
 		select {
@@ -321,3 +311,16 @@
 		}
 	}
 }
+
+// Ahead is how many clients have sent something behind their open requests.
+func (r *Room) Ahead() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for p := range r.places {
+		if p.saidMore() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -275,19 +275,32 @@
 
 // stirring looks, without waiting or taking anything, whether the socket has bytes or its end to read.
 func (l *link) stirring() bool {
-	socket, ok := l.Conn.(syscall.Conn)
-	if !ok {
+	if _, ok := l.Conn.(syscall.Conn); !ok {
 		return false
 	}
+	_, err := Peek(l.Conn)
+	return err != syscall.EAGAIN
+}
+
+// Peek looks, without waiting or taking anything, whether the socket has bytes to read: 0 and no error at its end, EAGAIN where
+// nothing has come.
+func Peek(c net.Conn) (n int, err error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, syscall.ENOTSOCK
+	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
 	var peek error
 	err = raw.Control(func(fd uintptr) {
-		_, _, peek = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, peek = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err != nil || peek != syscall.EAGAIN
+	if err != nil {
+		return 0, err
+	}
+	return max(0, n), peek
 }
 
 // dropped notes, after a failure, that the server had let go of a link that had rested.
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -74,8 +74,67 @@
 // Dial opens a connection to a real server.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// StartHeld is Start with the clients' connections as accepted makes them.
+func StartHeld(t testing.TB, accepted func(net.Conn) net.Conn, dial Dial, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
+	return start(t, zap.NewNop(), settings, accepted, dial, entries...)
+}
+
+// accepting is a listener whose connections are made anew.
+type accepting struct {
+	net.Listener
+	accepted func(net.Conn) net.Conn
+}
+
+func (a accepting) Accept() (net.Conn, error) {
+	c, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return a.accepted(c), nil
+}
+
+// HeldReads are a node's connections from its clients, whose reads can be held back behind the system's own: once bytes have come
+// they tell so on Came, and hand them on when Go gets one.
+type HeldReads struct {
+	Came, Go chan struct{}
+	Accepted chan struct{}
+	on       atomic.Bool
+}
+
+// HoldReads makes them; nothing is held back before Hold.
+func HoldReads() *HeldReads {
+	return &HeldReads{Came: make(chan struct{}), Go: make(chan struct{}), Accepted: make(chan struct{}, 100)}
+}
+
+// Hold has the next read that brings anything held back, of whichever connection.
+func (h *HeldReads) Hold() { h.on.Store(true) }
+
+// Conn makes one of them of a connection.
+func (h *HeldReads) Conn(c net.Conn) net.Conn {
+	h.Accepted <- struct{}{}
+	return &heldConn{c.(*net.TCPConn), h}
+}
+
+type heldConn struct {
+	*net.TCPConn
+	held *HeldReads
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.held.on.CompareAndSwap(true, false) {
+		c.held.Came <- struct{}{}
+		<-c.held.Go
+	}
+	return n, err
+}
+
 // StartDialing is StartLogged with connections to real servers as dial opens them; nil: as always.
 func StartDialing(t testing.TB, log *zap.Logger, settings standpoint.Settings, dial Dial, entries ...node.ServiceEntry) *Node {
+	return start(t, log, settings, func(c net.Conn) net.Conn { return c }, dial, entries...)
+}
+
+func start(t testing.TB, log *zap.Logger, settings standpoint.Settings, accepted func(net.Conn) net.Conn, dial Dial, entries ...node.ServiceEntry) *Node {
 	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Dial: dial, Log: log,
 		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
@@ -89,7 +148,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	n.Address, n.URL = listener.Addr().String(), "http://"+listener.Addr().String()
-	n.Room = edge.NewRoom(listener, 300, log)
+	n.Room = edge.NewRoom(accepting{listener, accepted}, 300, log)
 	n.Room.Figures = n.Figures
 	n.Bodies = node.NewShares(8<<20, 1)
 	n.Server = edge.NewServer((&edge.Front{Core: n.Core, Life: n.Life, Names: Names, Bodies: n.Bodies, Figures: n.Figures, Log: log}).Handler(), n.Room, log)
