Module: what is refused as the poorest is spread over the lengths of a class's prompts

Read: tooPoor refuses by worth for work, so that the longest prompts of a class go first and whole; the half kept of each class (starveMost) says nothing of which half.

What is beyond a tenant's quota may still go whole. TestTheLargestRequestsKeepTheirShare fails without (bandLeast 0).

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -1,8 +1,11 @@
 package standpoint
 
 import (
+	"cmp"
 	"maps"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -347,3 +350,70 @@
 		}
 	}
 }
+
+// However much the fleet gives up, the requests with the longest prompts of a class, which promise the least for their work, get two
+// thirds of the class's answered share, the longest tenth and the fifth behind it; and sessions whose turns are all long are not
+// refused throughout while there is room for most.
+func TestTheLargestRequestsKeepTheirShare(t *testing.T) {
+	for _, classes := range []int{1, 3} {
+		for _, cut := range []float64{0.05, 0.15, 0.3, 0.6, 0.8} {
+			s := base()
+			s.Balancers, s.SecondCopies = 1, false
+			s.Classes = slices.Repeat(s.Classes[:1], classes)
+			for i := range s.Classes {
+				s.Classes[i].Worth = float64(1 + 3*i)
+			}
+			r := New(s, 1)
+			feed(r, 0, ready("a", "b", "c"))
+			type asked struct {
+				prompt  float64
+				refused bool
+			}
+			all, sessions := make([][]asked, classes), map[uint64][]bool{}
+			rng := rand.New(rand.NewPCG(7, 7))
+			for i := int64(1); i <= 6000; i++ { // 100 a second
+				now := i * 10 * ms
+				r.cut, r.cutAt = cut, now
+				q := ask(i, now+2*second)
+				q.Class, q.Session = int(i-1)%classes, uint64(1+(i-1)%1500) // of four turns each
+				q.PromptTokens = 500 * math.Exp(1.2*rand.New(rand.NewPCG(q.Session, 7)).NormFloat64()+0.2*rng.NormFloat64())
+				refused := kinds(feed(r, now, q)) == "shed "
+				all[q.Class] = append(all[q.Class], asked{q.PromptTokens, refused})
+				sessions[q.Session] = append(sessions[q.Session], refused)
+			}
+			answered := func(some []asked) float64 {
+				n := 0.0
+				for _, a := range some {
+					if !a.refused {
+						n++
+					}
+				}
+				return n / float64(len(some))
+			}
+			for class, some := range all {
+				whole := answered(some)
+				slices.SortFunc(some, func(a, b asked) int { return cmp.Compare(b.prompt, a.prompt) })
+				n := len(some)
+				for what, part := range map[string][]asked{"tenth": some[:n/10], "fifth behind it": some[n/10 : 3*n/10]} {
+					if got := answered(part); got < 2.0/3*whole {
+						t.Errorf("%d classes, cut %g: %.2f of class %d is answered, and %.2f of the longest %s", classes, cut, whole, class, got, what)
+					}
+				}
+			}
+			// Those of which all four turns are refused, beyond what chance gives where a class loses so many.
+			for class, some := range all {
+				throughout, of := 0.0, 0.0
+				for session, turns := range sessions {
+					if int(session-1)%classes == class {
+						if of++; !slices.Contains(turns, false) {
+							throughout++
+						}
+					}
+				}
+				if over := throughout/of - math.Pow(1-answered(some), 4); cut <= 0.15 && over > 0.1 {
+					t.Errorf("%d classes, cut %g: %.2f of class %d is answered, and %.2f of its sessions are refused throughout beyond chance", classes, cut, answered(some), class, over)
+				}
+			}
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -35,6 +35,7 @@
 	cutDown      = 4.0       // aims met that undo one missed
 	cutFade      = 0.15      // fall of the refused part in a second
 	starveMost   = 0.5       // part of a class's, or a tenant's, requests that may be refused for others
+	bandLeast    = 0.8       // of a class's answered share, that of its longest prompts
 	comeLeast    = 0.3       // seconds after which a refused client may come again at the earliest
 	cutSpeed     = 0.7       // log slowness from which an engine's misses are its own
 	reserve      = 0.5       // share of an aim that must be left for headroom to count
@@ -89,7 +90,7 @@
 func New(settings Settings, seed int64) *Router {
 	r := &Router{set: settings, rng: rand.New(rand.NewPCG(uint64(seed), sessionSalt)), lost: map[int]int{},
 		engines: map[string]*engine{}, open: map[int64]*request{}, retries: retryBurst, trust: 1,
-		tenants: make([]tenantRate, len(settings.Tenants)), cuts: make([]float64, len(settings.Classes)+1),
+		tenants: make([]tenantRate, len(settings.Tenants)), cuts: make([]cuts, len(settings.Classes)+1),
 		gain: slices.Repeat([]float64{0.5}, len(settings.Classes)+1),
 		ttft: make([]model, settings.Kinds+1), pace: make([]model, settings.Kinds+1),
 		gaps: make([]mean, len(settings.Classes)+1), gap: gapStart}
@@ -245,7 +246,7 @@
 	below, n := r.note(d)
 	r.cut, r.cutAt = max(0, r.cut-cutFade*seconds(r.now-r.cutAt)), r.now
 	poor := n >= 8 && r.cut > 0 && float64(below) < r.cut*float64(n)
-	return r.noteCut(q, poor && r.cutOf(q) < starveMost)
+	return r.refuse(q, poor)
 }
 
 // pressed moves the part that is refused: up with each aim missed, down with each one met.
--- a/state.go
+++ b/state.go
@@ -116,8 +116,8 @@
 	gap        float64   // token gap at a load factor of 1, seconds: the pace of answers that run to their limit
 	lately     []float64 // densities of the latest requests
 	latelyAt   int
-	cuts       []float64 // by class: share of its latest requests that were refused so
-	cut        float64   // part of the requests, the poorest, that is refused
+	cuts       []cuts  // by class
+	cut        float64 // part of the requests, the poorest, that is refused
 	cutAt      int64
 }
 
@@ -509,26 +509,57 @@
 // cutRate is that of a request in the shares refused.
 const cutRate = 0.05
 
-// cutOf is the larger of the shares refused, of the request's class and of its tenant: 0 of what is beyond its quota.
-func (r *Router) cutOf(q *request) float64 {
-	if r.over(q) >= overQuota {
-		return 0
+// bands are the parts of a class's requests by their prompts: the longest tenth, the next fifth, further ones, and the shortest.
+var bands = [...]float64{0.1, 0.3, 0.6, 1}
+
+// cuts are the shares of a class's latest requests that were refused as the poorest: of all, and of each band.
+type cuts struct {
+	all     float64
+	bands   [len(bands)]float64
+	prompts []float64 // lengths of the latest, by which the bands go
+	at      int
+}
+
+// band tells in which band a prompt is, and keeps its length among the latest.
+func (c *cuts) band(prompt float64) int {
+	longer := 0
+	for _, other := range c.prompts {
+		if other > prompt {
+			longer++
+		}
 	}
-	return max(r.cuts[r.classIndex(q)], r.tenant(q).cut)
+	share := float64(longer) / max(1, float64(len(c.prompts)))
+	if len(c.prompts) < densities {
+		c.prompts = append(c.prompts, prompt)
+	} else {
+		c.prompts[c.at] = prompt
+		c.at = (c.at + 1) % densities
+	}
+	for i, most := range bands {
+		if share < most {
+			return i
+		}
+	}
+	return len(bands) - 1
 }
 
-// noteCut takes in whether a request was refused as one of the poorest.
-func (r *Router) noteCut(q *request, refused bool) bool {
+// refuse tells whether a request that is among the poorest is refused, and takes that in. What is beyond its tenant's quota may be
+// refused whole; else neither its class nor its tenant loses too much, nor those with the longest prompts of its class, which
+// promise the least for their work, much more than the class does.
+func (r *Router) refuse(q *request, poor bool) bool {
 	if r.over(q) >= overQuota {
-		return refused
+		return poor
 	}
+	class, tenant := &r.cuts[r.classIndex(q)], &r.tenant(q).cut
+	band := &class.bands[class.band(q.PromptTokens)]
+	refused := poor && max(class.all, *tenant) < starveMost && 1-*band > bandLeast*(1-class.all)
 	x := 0.0
 	if refused {
 		x = 1
 	}
-	class, tenant := &r.cuts[r.classIndex(q)], &r.tenant(q).cut
-	*class += cutRate * (x - *class)
-	*tenant += cutRate * (x - *tenant)
+	for _, share := range []*float64{&class.all, tenant, band} {
+		*share += cutRate * (x - *share)
+	}
 	return refused
 }
 
