--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -76,15 +77,22 @@
 	return p
 }
 
-// start starts a process of the node; more are further variables.
-func (p *platform) start(more ...string) *process {
-	q := &process{console: testpeer.FreeAddress(p.t), said: &log{}}
+// platformConfig is what the platform tells a node; more are further keys, or others in their place.
+func platformConfig(listen, discovery string, more map[string]any) map[string]any {
 	settings := map[string]any{"balancers": 1, "discovery": "on_request", "period": 2000000, "zones": []string{"a"}, "shapes": []string{"m"},
 		"classes": []any{map[string]any{"name": "chat", "onTime": 1e9, "hardLimit": 3e9, "worth": 1, "semantics": "safe", "streamed": true}},
 		"limits":  map[string]any{"cancel": true, "retryAfter": true, "maxRetryAfter": 2e9, "sendCap": 3},
 		"rules":   map[string]any{"askWithin": 10e9, "stopSendingWithin": 5e8}}
-	raw, err := json.Marshal(map[string]any{"name": "n", "listen": p.listen.Addr().String(), "discovery": p.discovery, "console": q.console,
-		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512}, "settings": settings})
+	all := map[string]any{"name": "n", "listen": listen, "discovery": discovery,
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512}, "settings": settings}
+	maps.Copy(all, more)
+	return all
+}
+
+// start starts a process of the node; more are further variables.
+func (p *platform) start(more ...string) *process {
+	q := &process{console: testpeer.FreeAddress(p.t), said: &log{}}
+	raw, err := json.Marshal(platformConfig(p.listen.Addr().String(), p.discovery, map[string]any{"console": q.console}))
 	require.NoError(p.t, err)
 	file := filepath.Join(p.t.TempDir(), "config.json")
 	require.NoError(p.t, os.WriteFile(file, raw, 0o600))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	hangup := make(chan os.Signal, 1) // holds one wish to read the configuration again
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	defer signal.Ignore(syscall.SIGHUP, syscall.SIGTERM) // for what is left of the program: all is answered, and it exits well
 	d, err := read(o.File)
 	if err != nil {
 		return &Faulty{err}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -64,7 +64,7 @@
 
 func fleetPart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), Wrote: a.figures.Wrote, Log: a.log}
+	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), MaxLinks: a.limits.Flows(), Wrote: a.figures.Wrote, Log: a.log}
 	if a.operator != nil {
 		b := a.operator.BatchServer
 		o.Batch = realserver.BatchOptions{Gather: time.Duration(b.Gather), Lines: b.Lines, Poll: time.Duration(b.Poll),
@@ -73,7 +73,7 @@
 	a.fleet = realserver.New(o)
 	return part{name: "real servers", reload: func(next deployment) {
 		_, names, _ := next.told()
-		a.fleet.Adjust(names.DialTimeout, names.ConnIdle, next.limits.IdleLinks())
+		a.fleet.Adjust(names.DialTimeout, names.ConnIdle, next.limits.IdleLinks(), next.limits.Flows())
 	}}, nil
 }
 
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -59,9 +59,10 @@
 // answer to the next request: http.Transport looks for that only once nobody waits for a connection.
 type link struct {
 	net.Conn
-	keep  *keep
-	most  time.Duration // that it may rest
-	wrote func()        // called once a request's last byte is written; nil: nobody counts
+	keep   *keep
+	most   time.Duration // that it may rest
+	wrote  func()        // called once a request's last byte is written; nil: nobody counts
+	closed func()        // called once the connection is; nil: nobody counts
 
 	mu       sync.Mutex
 	starts   bool          // the next write begins a request
@@ -82,6 +83,14 @@
 	barred   bool          // it said no
 }
 
+// Close implements net.Conn.
+func (l *link) Close() error {
+	if l.closed != nil {
+		defer l.closed()
+	}
+	return l.Conn.Close()
+}
+
 // Read hands on the answer and nothing behind it.
 func (l *link) Read(b []byte) (int, error) {
 	if l.frozen.Load() {
--- a/internal/realserver/moments_test.go
+++ b/internal/realserver/moments_test.go
@@ -275,3 +275,31 @@
 		}
 	}
 }
+
+// Connections to servers that rest never take the descriptors that clients, discovery and other servers need: of more than are
+// provided for, those that rest are closed, whichever servers they lead to.
+func TestRestingLinksMakeRoom(t *testing.T) {
+	t.Parallel()
+	const most, atOnce = 12, 6
+	var entries []node.ServiceEntry
+	for i := range 40 {
+		entries = append(entries, testpeer.Entry(fmt.Sprint("s", i), newMet().server(t, testpeer.Answer("whole"))))
+	}
+	n := testpeer.Start(t, testpeer.Settings(), entries...)
+	n.Servers.Adjust(100*time.Millisecond, 15*time.Second, 10, most)
+	peak := 0
+	for round := range 30 {
+		var all sync.WaitGroup
+		for i := range atOnce {
+			all.Go(func() {
+				status, _, _, err := n.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Object", fmt.Sprintf("%x", 1+round*atOnce+i)) }))
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+			})
+		}
+		all.Wait()
+		peak = max(peak, n.Servers.Links())
+		require.LessOrEqual(t, n.Servers.Links(), most+2*atOnce)
+	}
+	require.Greater(t, peak, most/2, "they are kept while there are few")
+}
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -44,11 +44,14 @@
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // the server closes a connection left idle for this long
 	MaxIdle     int           // connections kept to one real server between requests
+	MaxLinks    int           // connections to all, from which on those that rest are closed; 0: no bound
 	Batch       BatchOptions  // for the real servers that take files
 	// Dial, if not nil, opens connections to servers that stream, in place of a plain dialer: tests hold them back by it.
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Wrote func() // an attempt is written whole; nil: nobody counts
 	Log   *zap.Logger
+
+	opens func() (closed func()) // the fleet's: a connection is about to be opened
 }
 
 // Fleet holds the actors of the real servers. Its methods are the core's, but for Adjust.
@@ -57,13 +60,33 @@
 	Options
 	servers map[string]actor
 	live    *live
+	links   atomic.Int64 // connections to servers that are open, or being opened
 }
 
 // New makes an empty fleet.
 func New(o Options) *Fleet {
-	return &Fleet{Options: o, servers: map[string]actor{}, live: &live{all: map[*link]bool{}}}
+	f := &Fleet{Options: o, servers: map[string]actor{}, live: &live{all: map[*link]bool{}}}
+	f.opens = f.open
+	return f
 }
 
+// open counts a connection that is about to be opened, until closed is called. Where there are many, those that rest are closed:
+// their descriptors are for clients, discovery and the servers that are needed now.
+func (f *Fleet) open() (closed func()) {
+	n := f.links.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.MaxLinks > 0 && n > int64(f.MaxLinks) {
+		for _, s := range f.servers {
+			s.tell(shed{}) // where the mailbox is full the next connection says so again
+		}
+	}
+	return sync.OnceFunc(func() { f.links.Add(-1) })
+}
+
+// Links is how many connections to servers are open, or being opened.
+func (f *Fleet) Links() int { return int(f.links.Load()) }
+
 // Update takes in news of the service entries: new servers get an actor, moved ones hear of it, those gone
 // are let go of; attempts that are out at them run on.
 func (f *Fleet) Update(l node.List) {
@@ -127,10 +150,10 @@
 }
 
 // Adjust changes the limits under which servers are reached, from their next connections on.
-func (f *Fleet) Adjust(dial, idle time.Duration, maxIdle int) {
+func (f *Fleet) Adjust(dial, idle time.Duration, maxIdle, maxLinks int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.DialTimeout, f.ConnIdle, f.MaxIdle = dial, idle, maxIdle
+	f.DialTimeout, f.ConnIdle, f.MaxIdle, f.MaxLinks = dial, idle, maxIdle, maxLinks
 	for _, s := range f.servers {
 		s.must(limits{dial, idle, maxIdle})
 	}
@@ -166,6 +189,7 @@
 	}
 	draining struct{}
 	gone     struct{}
+	shed     struct{} // connections that rest are to be closed
 	limits   struct {
 		dial, idle time.Duration
 		maxIdle    int
@@ -219,6 +243,8 @@
 			s.DialTimeout, s.ConnIdle, s.MaxIdle = m.dial, m.idle, m.maxIdle
 			connections.CloseIdleConnections()
 			connections = transport(s.Options, s.keep)
+		case shed:
+			connections.CloseIdleConnections()
 		case gone:
 			return
 		}
@@ -232,11 +258,13 @@
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			closed := o.opens()
 			c, err := dial(ctx, network, address)
 			if err != nil {
+				closed()
 				return nil, err
 			}
-			return &link{Conn: c, keep: k, most: o.ConnIdle / 2, wrote: o.Wrote}, nil
+			return &link{Conn: c, keep: k, most: o.ConnIdle / 2, wrote: o.Wrote, closed: closed}, nil
 		},
 		MaxResponseHeaderBytes: headMost,
 		// Half of the server's own idle time: a request written to a connection that the server is closing
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -46,6 +46,7 @@
 // Node is a node's inside on loopback, without discovery.
 type Node struct {
 	Core    *node.Core
+	Servers *realserver.Fleet
 	Life    *node.Life
 	Room    *edge.Room
 	Bodies  *node.Shares
@@ -138,7 +139,7 @@
 	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Dial: dial, Log: log,
 		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
-	n := &Node{Life: &node.Life{}, t: t}
+	n := &Node{Servers: fleet, Life: &node.Life{}, t: t}
 	n.Figures = figures.New(Names.Classes, func() int { return n.Core.Open() })
 	fleet.Wrote = n.Figures.Wrote
 	n.Core = node.New(node.Options{Settings: settings, Seed: 1, MaxFlows: 300, Servers: fleet, Entries: noEntries{}, Figures: n.Figures, Log: log})
