Attempts ask whether the client is still there as their first byte is written

Read: net/http finds out that a client has left in a goroutine of its own that begins to look once a body has been read; an attempt on a kept connection may be faster. Clients that send all at once and have gone before they are accepted: of 100, 24 to 36 requests were sent on to a server with a warm connection (TestClientsThatHaveGoneBeforeTheyAreAccepted without the question; one extra byte or more, a whole second request, by close and by half close).

MayBegin asks the edge connection (node.Leaver): the socket knows the hang-up, behind unread bytes too. Found gone, the flow is settled, so that nothing further is decided on.

Beside it: HandBack(true) broke off what was claimed before it settled the rest; a flow claimed between the two was neither and ran on into the kill. The order is turned round; no test holds that moment, it lies within one turn of the core.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -484,6 +484,9 @@
 	return err
 }
 
+// Gone implements node.Leaver.
+func (c *connection) Gone() bool { return c.place != nil && c.place.hasLeft() }
+
 func (c *connection) Begin() error {
 	c.w.Header().Set("Content-Type", "text/event-stream")
 	c.w.WriteHeader(http.StatusOK)
--- a/internal/edge/moments_test.go
+++ b/internal/edge/moments_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -303,3 +304,54 @@
 	require.Equal(t, events, strings.Count(body, "yyy\""))
 	require.Contains(t, body, "[DONE]")
 }
+
+// Clients that send all at once and have gone before the node accepts their connections, as in a burst that it could not take at
+// once: whatever they sent, with a server and a connection to it that wait for work, nothing of it is sent on.
+func TestClientsThatHaveGoneBeforeTheyAreAccepted(t *testing.T) {
+	t.Parallel()
+	goes := map[string]func(c *net.TCPConn){
+		"close":             func(c *net.TCPConn) { c.Close() },
+		"end their sending": func(c *net.TCPConn) { _ = c.CloseWrite() },
+	}
+	for how, leave := range goes {
+		for what, more := range map[string]int{"one request": 0, "one byte more": 1, "two requests": 2000, "much more": 30 << 10} {
+			t.Run(what+", "+how, func(t *testing.T) {
+				t.Parallel()
+				var sent atomic.Int32
+				gate := make(chan struct{}, 1000)
+				n := testpeer.StartHeld(t, func(c net.Conn) net.Conn { <-gate; return c }, nil, testpeer.Settings(),
+					testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+						sent.Add(1)
+						always(w, r)
+					})))
+				warm := func() {
+					gate <- struct{}{}
+					c := n.Dial()
+					_, err := c.Write(raw(t, n, 10, func(r *http.Request) { r.Close = true }))
+					require.NoError(t, err)
+					status, _ := answer(t, c, bufio.NewReader(c))
+					require.Equal(t, http.StatusOK, status)
+				}
+				warm()
+				const clients = 100
+				for range clients {
+					c := n.Dial().(*net.TCPConn)
+					request := raw(t, n, 10, nil)
+					if more > 0 {
+						request = append(request, raw(t, n, more, nil)[:more]...)
+					}
+					_, err := c.Write(request)
+					require.NoError(t, err)
+					leave(c)
+				}
+				time.Sleep(20 * time.Millisecond) // for the system
+				for range clients {
+					gate <- struct{}{}
+					time.Sleep(time.Millisecond)
+				}
+				warm()
+				require.Equal(t, int32(2), sent.Load(), "but for those that stayed")
+			})
+		}
+	}
+}
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -217,6 +217,9 @@
 	return n, nil
 }
 
+// hasLeft tells that the client has ended the connection, whether the server has come to see that or not.
+func (p *place) hasLeft() bool { return p.gone.Load() || realserver.HungUp(p.Conn) }
+
 // saidMore tells that the client has sent something behind its open request.
 func (p *place) saidMore() bool {
 	p.mu.Lock()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -394,12 +394,13 @@
 	case handBack:
 		c.leaving = c.leaving || m.all
 		for _, f := range c.flows {
-			if c.Settings.Resume {
-				f.breakOff(ErrHandedBack)
-			}
+			// One that an attempt claims meanwhile is not given back, and then is broken off.
 			if m.all {
 				c.giveBack(f)
 			}
+			if c.Settings.Resume {
+				f.breakOff(ErrHandedBack)
+			}
 		}
 	case taken:
 		// Clients go on sending on every connection that is open until the kill, which is near.
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -49,6 +49,13 @@
 	ErrBroken  = errors.New("the answer is broken off here")
 )
 
+// Leaver is an edge connection that can be asked whether its client has left. It is asked before each attempt begins: that nobody has
+// told of it yet does not mean that the client is there.
+type Leaver interface {
+	// Gone must not wait.
+	Gone() bool
+}
+
 // AnswerKind says how a flow ended for its client.
 type AnswerKind uint8
 
@@ -156,6 +163,16 @@
 	return false
 }
 
+// clientGone asks whether the client has left, and settles the flow if so.
+func (f *Flow) clientGone() bool {
+	client, ok := f.edge.(Leaver)
+	if !ok || !client.Gone() {
+		return false
+	}
+	f.leave()
+	return true
+}
+
 // breakOff stops the attempt that has claimed the flow, if one has. One that is handed back first takes what its server
 // has sent already: that may be the end of its stream.
 func (f *Flow) breakOff(why error) {
@@ -237,6 +254,8 @@
 		return ErrOver
 	case a.Barred != nil && a.Barred():
 		return ErrLeaving
+	case a.Flow.clientGone():
+		return ErrClientGone
 	case !a.By.IsZero() && !time.Now().Before(a.By):
 		return ErrTooLate
 	}
--- a/internal/realserver/link.go
+++ b/internal/realserver/link.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // lastChunk ends an answer. It cannot stand inside one: no line of an event is a 0 alone.
@@ -294,22 +296,41 @@
 // Peek looks, without waiting or taking anything, whether the socket has bytes to read: 0 and no error at its end, EAGAIN where
 // nothing has come.
 func Peek(c net.Conn) (n int, err error) {
+	failed := control(c, func(fd int) { n, _, err = syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+	if failed != nil {
+		return 0, failed
+	}
+	return max(0, n), err
+}
+
+// HungUp tells, without waiting, whether the other side is known to have ended the connection, or its sending, though what it sent
+// before may not have been read.
+func HungUp(c net.Conn) bool {
+	look := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	if err := control(c, func(fd int) {
+		look[0].Fd = int32(fd)
+		_, _ = unix.Poll(look, 0)
+	}); err != nil {
+		return false
+	}
+	if look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 {
+		return true
+	}
+	n, err := Peek(c)
+	return n == 0 && err == nil
+}
+
+// control has f look at the connection's descriptor.
+func control(c net.Conn, f func(fd int)) error {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, syscall.ENOTSOCK
+		return syscall.ENOTSOCK
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return 0, err
-	}
-	var peek error
-	err = raw.Control(func(fd uintptr) {
-		n, _, peek = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	if err != nil {
-		return 0, err
+		return err
 	}
-	return max(0, n), peek
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // dropped notes, after a failure, that the server had let go of a link that had rested.
