Answers that never end are broken off: comments are no progress, and events are counted against what was asked for

Read: pass put its clock for silence back with every whole event, comments too, and else bounded an answer by 16 MB alone: a server that sends ': there' for good, or an event each second, held its client, a flow and two descriptors for hours. Now only events with data put the clock back, and twice the tokens that the request allows and 64 are the most events (none where a request states no limit).

TestAServerClosesAsARequestIsWritten holds the write until the server has closed a rested connection, by FIN and by reset: it never ran, and goes out afresh, whatever its effect.

--- a/internal/realserver/moments_test.go
+++ b/internal/realserver/moments_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -303,3 +304,149 @@
 	}
 	require.Greater(t, peak, most/2, "they are kept while there are few")
 }
+
+// Answers that never end, each in another way: the request is tried elsewhere where nothing of it has reached the client, else the
+// client's answer ends, broken and in bounded time, and nothing more goes out.
+func TestAnswersThatNeverEnd(t *testing.T) {
+	t.Parallel()
+	event := testpeer.Chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"x\"}}]}\n\n")
+	forever := func(piece string, pause time.Duration) func(c net.Conn) {
+		return func(c net.Conn) {
+			for began := time.Now(); time.Since(began) < 6*time.Second; {
+				if _, err := io.WriteString(c, piece); err != nil {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		begins string
+		then   func(c net.Conn)
+		begun  bool // something of it reaches the client
+	}{
+		"a head":               {"HTTP/1.1 200 OK\r\n", forever("X-More: and more\r\n", time.Millisecond), false},
+		"early heads":          {"", forever("HTTP/1.1 103 Early\r\n\r\n", time.Millisecond), false},
+		"a first line":         {testpeer.OpenAnswer, forever(testpeer.Chunk("data"), time.Millisecond), false},
+		"a chunk's size":       {testpeer.OpenAnswer, forever("0", time.Millisecond), false},
+		"a line behind events": {testpeer.OpenAnswer + event, forever(testpeer.Chunk("data"), time.Millisecond), true},
+		"events":               {testpeer.OpenAnswer + event, forever(event, time.Millisecond), true},
+		"comments":             {testpeer.OpenAnswer + event, forever(testpeer.Chunk(": there\n\n"), 10*time.Millisecond), true},
+		"nothing behind half a line": {testpeer.OpenAnswer + event + testpeer.Chunk("data: {\"choi"),
+			func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, true},
+		"nothing behind the last event": {testpeer.OpenAnswer + event + testpeer.Chunk("data: [DONE]\n\n"),
+			func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, true},
+		"trailers": {testpeer.OpenAnswer + event + testpeer.Chunk("data: [DONE]\n\n") + "0\r\n", forever("X-More: and more\r\n", time.Millisecond), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var asked atomic.Int32
+			server := func() string {
+				return testpeer.RawServer(t, func(conn net.Conn) {
+					if asked.Add(1) > 1 {
+						_, _ = io.WriteString(conn, testpeer.Answer("good"))
+						return
+					}
+					_, _ = io.WriteString(conn, c.begins)
+					c.then(conn)
+				})
+			}
+			n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("a", server()), testpeer.Entry("b", server()))
+			began := time.Now()
+			response, err := http.DefaultClient.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Expires-In", "6000m") }))
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			body, err := io.ReadAll(response.Body)
+			if c.begun {
+				require.Error(t, err, "broken off: it was never whole")
+				require.Equal(t, int32(1), asked.Load())
+			} else {
+				require.NoError(t, err)
+				require.Contains(t, string(body), "good")
+				require.Equal(t, int32(2), asked.Load())
+			}
+			require.Less(t, time.Since(began), 4*time.Second)
+		})
+	}
+}
+
+// A server closes a connection that rested in the moment in which a request is written to it: the write is held until it has. The
+// request's last byte was not written, so it never ran, and it goes out afresh, whatever its effect.
+func TestAServerClosesAsARequestIsWritten(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		effect standpoint.Effect
+		resets bool
+	}{
+		"safe":           {standpoint.Safe, false},
+		"unsafe":         {standpoint.Unsafe, false},
+		"safe, resets":   {standpoint.Safe, true},
+		"unsafe, resets": {standpoint.Unsafe, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var whole atomic.Int32
+			first := make(chan net.Conn, 1)
+			address := testpeer.RawServer(t, func(conn net.Conn) {
+				if whole.Add(1) == 1 {
+					first <- conn
+				}
+				_, _ = io.WriteString(conn, testpeer.Answer("good"))
+			})
+			settings := testpeer.Settings()
+			settings.Classes[0].Effect = c.effect
+			held := &heldWrites{at: make(chan struct{}), on: make(chan struct{})}
+			n := testpeer.StartDialing(t, zap.NewNop(), settings, held.dial, testpeer.Entry("a", address))
+			status, _, _, err := n.Do(n.Chat(t.Context(), nil))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			time.Sleep(50 * time.Millisecond) // it rests
+			held.hold.Store(true)
+			answered := make(chan int, 1)
+			began := time.Now()
+			go func() {
+				status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
+				answered <- status
+			}()
+			<-held.at
+			conn := <-first
+			if c.resets {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			conn.Close()
+			time.Sleep(20 * time.Millisecond) // until that is there
+			held.on <- struct{}{}
+			require.Equal(t, http.StatusOK, <-answered)
+			require.Less(t, time.Since(began), time.Second)
+			require.Equal(t, int32(2), whole.Load())
+		})
+	}
+}
+
+// heldWrites are connections to servers of which one write can be held back.
+type heldWrites struct {
+	hold   atomic.Bool
+	at, on chan struct{}
+}
+
+func (h *heldWrites) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &heldWrite{c.(*net.TCPConn), h}, nil
+}
+
+type heldWrite struct {
+	*net.TCPConn
+	held *heldWrites
+}
+
+func (c *heldWrite) Write(b []byte) (int, error) {
+	if c.held.hold.CompareAndSwap(true, false) {
+		c.held.at <- struct{}{}
+		<-c.held.on
+	}
+	return c.TCPConn.Write(b)
+}
--- a/internal/realserver/moving.go
+++ b/internal/realserver/moving.go
@@ -56,6 +56,7 @@
 	size   int
 	held   time.Duration
 	passed time.Time     // when the latest event was passed on
+	came   time.Time     // when the latest came that carried data
 	pause  time.Duration // the longest in which the server sent nothing between two events; 0: not known
 }
 
@@ -68,6 +69,11 @@
 	return min(streamQuiet, max(restQuiet, pausesQuiet*p.pause))
 }
 
+// endless tells that there are more events than the longest answer to the request can have.
+func (p *passage) endless(maxTokens float64) bool {
+	return maxTokens >= 1 && float64(p.end.events) > eventsMost*maxTokens+eventsMore
+}
+
 // live are the streams that are passed on now, and where they move to once they do.
 type live struct {
 	mu  sync.Mutex
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -30,9 +30,11 @@
 	restQuiet   = time.Second     // at the least, where its client asks for the rest; servers stand still for up to 600 ms
 	pausesQuiet = 4               // of the stream's own longest pauses, likewise
 	readSize    = 16 << 10
-	headMost    = 16 << 10               // of an answer, 1xx ones ahead included
-	eventMost   = 64 << 10               // of one event
-	streamMost  = 16 << 20               // of a whole answer
+	headMost    = 16 << 10 // of an answer, 1xx ones ahead included
+	eventMost   = 64 << 10 // of one event
+	streamMost  = 16 << 20 // of a whole answer
+	eventsMost  = 2        // events for each token that a request allows, and so many more for what frames the answer
+	eventsMore  = 64
 	drainMost   = 16 << 10               // of an answer that is no stream, to be able to keep its connection
 	drainTime   = 100 * time.Millisecond // in which that must have come
 	freshTries  = 2                      // further connections for a request that kept ones did not take
@@ -445,9 +447,13 @@
 			whole = len(p.buffer)
 		}
 		if whole > 0 {
+			before := p.end.events
 			if noted := p.end.note(p.buffer[:whole]); noted != nil {
 				return node.Result{Code: standpoint.ServerError}, noted
 			}
+			if p.end.events > before {
+				p.came = time.Now()
+			}
 			if p.begun && !p.passed.IsZero() {
 				p.pause = max(p.pause, time.Since(p.passed))
 			}
@@ -469,8 +475,8 @@
 			if wait := time.Since(from); wait > node.HeldLeast {
 				p.held += wait
 			}
-			quiet.Reset(p.silence(a.Resumes))
 			p.passed = time.Now()
+			quiet.Reset(p.silence(a.Resumes) - from.Sub(p.came)) // comments are no signs of an answer
 			if errors.Is(err, node.ErrStopped) {
 				// First the decoding ends, then it is put on record that it has.
 				quiet.Stop()
@@ -496,7 +502,7 @@
 			return node.Result{Code: standpoint.Cancelled, Report: p.end.report}, err
 		case err != nil:
 			return node.Result{Code: failure(ctx, true, l), Report: p.end.report}, err
-		case len(p.buffer) > eventMost, p.size > streamMost:
+		case len(p.buffer) > eventMost, p.size > streamMost, p.endless(a.Flow.Request.MaxTokens):
 			return node.Result{Code: standpoint.ServerError}, errors.New("the answer, or one event of it, does not end")
 		}
 	}
--- a/internal/realserver/stream.go
+++ b/internal/realserver/stream.go
@@ -53,6 +53,7 @@
 	tokens float64
 	report *standpoint.Report
 	done   bool
+	events int // that carry data: comments are none, and may go on without an end
 }
 
 var (
@@ -88,6 +89,9 @@
 		}
 		data, ok := bytes.CutPrefix(line, dataMark)
 		data = bytes.TrimSpace(data)
+		if ok {
+			t.events++
+		}
 		switch {
 		case ok && bytes.Equal(data, doneMark):
 			t.done = true
