Answers: only what the body itself allows bounds their events; TestTail knows the count

Read beside it: a length that only a header tells is not what the server goes by, so that good answers could have been cut; and a stream taken over from another process began with no moment of its latest event.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -196,7 +196,7 @@
 			trace := r.Header.Get("X-Trace-Id")
 			if f.ids.open(trace, began) {
 				defer f.ids.close(trace)
-				f.serve(w, r, control, request, body)
+				f.serve(w, r, control, request, node.Work{Body: body, MaxTokens: c.most()})
 				return
 			}
 			err = &fault{http.StatusConflict, "X-Trace-Id: that of another request"}
@@ -230,9 +230,9 @@
 }
 
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, control *http.ResponseController,
-	request standpoint.Request, body []byte) {
-	work := node.Work{Method: r.Method, Target: r.URL.RequestURI(), TraceID: r.Header.Get("X-Trace-Id"),
-		ContentType: r.Header.Get("Content-Type"), Body: body}
+	request standpoint.Request, work node.Work) {
+	work.Method, work.Target = r.Method, r.URL.RequestURI()
+	work.TraceID, work.ContentType = r.Header.Get("X-Trace-Id"), r.Header.Get("Content-Type")
 	at, _ := r.Context().Value(placeKey{}).(*place)
 	flow := node.NewFlow(request, work, &connection{w: w, control: control, place: at, chunked: r.ProtoAtLeast(1, 1)})
 	if answered := f.session(w, r, flow); answered {
@@ -336,9 +336,17 @@
 	if q.PrefixTokens > 0 {
 		q.PrefixTokens = min(q.PrefixTokens, q.PromptTokens, 1+2*first/tokenChars)
 	}
+	if c.most() > 0 {
+		q.MaxTokens = c.most() // what the real server goes by
+	}
+}
+
+// most is how many tokens the body allows for the answer; 0: it does not say.
+func (c *chat) most() float64 {
 	if most, err := tokens(string(c.MaxTokens), answerMost); err == nil && most >= 1 {
-		q.MaxTokens = most // what the real server goes by
+		return most
 	}
+	return 0
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, chat, error) {
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -13,6 +13,7 @@
 type Work struct {
 	Method, Target, TraceID, ContentType string
 	Body                                 []byte
+	MaxTokens                            float64 // the most that the body allows for its answer; 0: it does not say
 }
 
 // EdgeConnection is the client's side of a flow. Its methods are called by the attempt that claimed the
--- a/internal/realserver/moments_test.go
+++ b/internal/realserver/moments_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -353,7 +354,11 @@
 			}
 			n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("a", server()), testpeer.Entry("b", server()))
 			began := time.Now()
-			response, err := http.DefaultClient.Do(n.Chat(t.Context(), func(r *http.Request) { r.Header.Set("X-Expires-In", "6000m") }))
+			response, err := http.DefaultClient.Do(n.Chat(t.Context(), func(r *http.Request) {
+				body := `{"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`
+				r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+				r.Header.Set("X-Expires-In", "6000m")
+			}))
 			require.NoError(t, err)
 			defer response.Body.Close()
 			require.Equal(t, http.StatusOK, response.StatusCode)
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -426,6 +426,7 @@
 		defer v.remove(l)
 		a.OnHandBack(l.leave)
 	}
+	p.came = time.Now()
 	if p.begun && l != nil {
 		v.add(l)
 	}
@@ -502,7 +503,7 @@
 			return node.Result{Code: standpoint.Cancelled, Report: p.end.report}, err
 		case err != nil:
 			return node.Result{Code: failure(ctx, true, l), Report: p.end.report}, err
-		case len(p.buffer) > eventMost, p.size > streamMost, p.endless(a.Flow.Request.MaxTokens):
+		case len(p.buffer) > eventMost, p.size > streamMost, p.endless(a.Flow.Work.MaxTokens):
 			return node.Result{Code: standpoint.ServerError}, errors.New("the answer, or one event of it, does not end")
 		}
 	}
--- a/internal/realserver/stream_test.go
+++ b/internal/realserver/stream_test.go
@@ -14,6 +14,6 @@
 	require.NoError(t, end.note([]byte(`data: {"usage":{"completion_tokens":7,"prompt_tokens_details":{"cached_tokens":4}}}`+
 		"\n\ndata: [DONE]\n\n: Endpoint-Load-Metrics: TEXT x0=0.25, x1=1.5, util=0.5\n\n")))
 	require.NoError(t, end.note([]byte(": Endpoint-Load-Metrics: TEXT x0=0.5, x1=inf\n\n")))
-	require.Equal(t, tail{kept: 4, tokens: 7, report: &standpoint.Report{Memory: 0.25, Unread: 1.5, Slots: 0.5}, done: true}, end)
+	require.Equal(t, tail{kept: 4, tokens: 7, report: &standpoint.Report{Memory: 0.25, Unread: 1.5, Slots: 0.5}, done: true, events: 2}, end)
 	require.Error(t, end.note([]byte("data: {}\n\n")), "behind the last")
 }
