--- a/internal/realserver/moments_test.go
+++ b/internal/realserver/moments_test.go
@@ -455,3 +455,88 @@
 	}
 	return c.TCPConn.Write(b)
 }
+
+// A repeat is decided on, and a request that was held while there was no server for it, and the server chosen is told to leave while
+// the connection comes up: nothing is sent there, and the request goes on elsewhere.
+func TestToldToLeaveWhileARepeatOrAHeldRequestIsOnItsWay(t *testing.T) {
+	t.Parallel()
+	t.Run("a repeat", func(t *testing.T) {
+		t.Parallel()
+		met, held := newMet(), testpeer.HoldDials(2)
+		var all []node.ServiceEntry
+		for _, name := range []string{"a", "b", "c"} {
+			all = append(all, testpeer.Entry(name, met.server(t, failed500, testpeer.Answer("whole"))))
+		}
+		n := testpeer.StartDialing(t, zap.NewNop(), testpeer.Settings(), held.Dial, all...)
+		answered := make(chan int, 1)
+		go func() {
+			status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
+			answered <- status
+		}()
+		first := <-held.Up
+		held.Go <- struct{}{}
+		second := <-held.Up
+		require.NotEqual(t, first, second)
+		for i := range all {
+			if all[i].Address == second {
+				all[i].State = standpoint.Draining
+			}
+		}
+		n.Tell(all...)
+		n.Heard()
+		held.Go <- struct{}{}
+		<-answered // by the third attempt, whatever that server says
+		require.Zero(t, met.at(second))
+		require.Equal(t, 1, met.at(first))
+	})
+	t.Run("a held request", func(t *testing.T) {
+		t.Parallel()
+		met, held := newMet(), testpeer.HoldDials(1)
+		a, b := testpeer.Entry("a", met.server(t, testpeer.Answer("whole"))), testpeer.Entry("b", met.server(t, testpeer.Answer("whole")))
+		a.State = standpoint.Draining
+		n := testpeer.StartDialing(t, zap.NewNop(), testpeer.Settings(), held.Dial, a)
+		answered := make(chan int, 1)
+		go func() {
+			status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
+			answered <- status
+		}()
+		require.Eventually(t, func() bool { return n.Core.Open() == 1 }, time.Second, time.Millisecond)
+		a.State = standpoint.Ready
+		n.Tell(a)
+		require.Equal(t, a.Address, <-held.Up)
+		a.State = standpoint.Draining
+		n.Tell(a)
+		n.Heard()
+		held.Go <- struct{}{}
+		n.Heard()
+		require.Zero(t, met.at(a.Address))
+		n.Tell(a, b)
+		require.Equal(t, http.StatusOK, <-answered)
+		require.Zero(t, met.at(a.Address))
+		require.Equal(t, 1, met.at(b.Address))
+	})
+}
+
+// A client goes while its request is held, and the list brings a server in that moment: nothing begins for it.
+func TestTheClientGoesWhileItsRequestIsHeld(t *testing.T) {
+	t.Parallel()
+	met := newMet()
+	n := testpeer.Start(t, testpeer.Settings())
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		if response, err := http.DefaultClient.Do(n.Chat(ctx, nil)); err == nil {
+			response.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return n.Core.Open() == 1 }, time.Second, time.Millisecond)
+	leave()
+	<-gone
+	a := testpeer.Entry("a", met.server(t, testpeer.Answer("whole")))
+	n.Tell(a) // in the very moment
+	n.Heard()
+	require.Eventually(t, func() bool { return n.Core.Open() == 0 }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // for what must not come
+	require.Zero(t, met.at(a.Address))
+}
