--- a/internal/batch/lines.go
+++ b/internal/batch/lines.go
@@ -167,7 +167,7 @@
 
 var errLarge = errors.New("the answer is larger than 4 MiB")
 
-// collector is the edge connection of a line: it puts a streamed answer together.
+// collector is the client connection of a line: it puts a streamed answer together.
 type collector struct {
 	content bytes.Buffer
 	model   string
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -37,9 +37,9 @@
 	return l
 }
 
-// EdgeConnections is the clients' part of the descriptors. They hold at most a third for requests; the rest is
+// ClientConnections is the clients' part of the descriptors. They hold at most a third for requests; the rest is
 // for connections that rest between requests.
-func (l Limits) EdgeConnections() int { return l.Sockets * 58 / 100 }
+func (l Limits) ClientConnections() int { return l.Sockets * 58 / 100 }
 
 // Flows is how many flows may be open, each with one connection to a real server at the most.
 func (l Limits) Flows() int { return l.Sockets * 33 / 100 }
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -188,7 +188,7 @@
 		return
 	}
 	confine(next.limits)
-	room.Resize(next.limits.EdgeConnections())
+	room.Resize(next.limits.ClientConnections())
 	log.Info("processes of this node beside this one", zap.Int("others", others), zap.Any("limits", next.limits))
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,7 +96,7 @@
 	}
 	a.await(stop)
 	a.recall(stop, began)
-	room := edge.NewRoom(listener, a.now.limits.EdgeConnections(), log)
+	room := edge.NewRoom(listener, a.now.limits.ClientConnections(), log)
 	room.Figures = a.figures
 	server := edge.NewServer(a.handler(), room, log)
 	failed := make(chan error, 1)
@@ -170,7 +170,7 @@
 	a.level.SetLevel(next.logging().level)
 	confine(next.limits)
 	if room != nil {
-		room.Resize(next.limits.EdgeConnections())
+		room.Resize(next.limits.ClientConnections())
 	}
 	log.Info("the configuration was read again", zap.Any("limits", next.limits))
 	return nil
--- a/internal/edge/place.go
+++ b/internal/edge/clientconn.go
@@ -21,9 +21,9 @@
 	lingerMost = 32                     // connections that do so at once
 )
 
-// place is one client connection. Those who close one that rests, and the server, which may be reading a request from it just
+// clientConn is one client connection. Those who close one that rests, and the server, which may be reading a request from it just
 // then, meet under its lock: either nothing has been read and nothing will be, or the request is read on and gets its answer.
-type place struct {
+type clientConn struct {
 	net.Conn
 	room          *Room
 	heard         atomic.Bool // something has come on it
@@ -48,7 +48,7 @@
 
 // Read implements net.Conn. Behind an open request net/http reads one byte to find out whether the client leaves. Once one has
 // come it looks no further, so that what leaves behind it would not be noticed: the place then reads ahead itself.
-func (p *place) Read(b []byte) (int, error) {
+func (p *clientConn) Read(b []byte) (int, error) {
 	p.stopAhead()
 	if n, err := p.fromAhead(b); n > 0 || err != nil {
 		return n, err
@@ -67,7 +67,7 @@
 }
 
 // ended notes why nothing more comes, if that is so.
-func (p *place) ended(err error) {
+func (p *clientConn) ended(err error) {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		p.late.Store(true)
@@ -77,7 +77,7 @@
 }
 
 // came notes that something of a request has: whoever asked the connection to go meanwhile was too late.
-func (p *place) came() {
+func (p *clientConn) came() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun = true
@@ -89,7 +89,7 @@
 
 // SetReadDeadline implements net.Conn. The server takes the deadline away once the first bytes of a request have come; of those
 // behind the request before they may have come with it.
-func (p *place) SetReadDeadline(t time.Time) error {
+func (p *clientConn) SetReadDeadline(t time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.until = t
@@ -103,14 +103,14 @@
 }
 
 // rests tells that its request is over.
-func (p *place) rests() {
+func (p *clientConn) rests() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun = false
 }
 
 // end has the connection end if nothing of a request has come. False: something has.
-func (p *place) end(now time.Time) bool {
+func (p *clientConn) end(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.begun {
@@ -122,7 +122,7 @@
 }
 
 // watch has left told if the client leaves while its request is open, until the returned function is called.
-func (p *place) watch(left context.CancelFunc) (done func()) {
+func (p *clientConn) watch(left context.CancelFunc) (done func()) {
 	set := func(f context.CancelFunc) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -133,7 +133,7 @@
 }
 
 // readAhead begins to read what comes behind an open request.
-func (p *place) readAhead() {
+func (p *clientConn) readAhead() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.left == nil {
@@ -148,7 +148,7 @@
 }
 
 // takeAhead reads until the client leaves, or is taken to, or its request is over.
-func (p *place) takeAhead() {
+func (p *clientConn) takeAhead() {
 	b := make([]byte, aheadStart)
 	for kept := 0; p.room.ahead.Load() < aheadAll; {
 		n, err := p.Conn.Read(b)
@@ -173,7 +173,7 @@
 }
 
 // leave tells the open request that its client has left.
-func (p *place) leave() {
+func (p *clientConn) leave() {
 	p.mu.Lock()
 	left := p.left
 	p.mu.Unlock()
@@ -183,7 +183,7 @@
 }
 
 // stopAhead ends the reading ahead, if there is any.
-func (p *place) stopAhead() {
+func (p *clientConn) stopAhead() {
 	p.mu.Lock()
 	over := p.pump
 	if over == nil {
@@ -202,7 +202,7 @@
 }
 
 // fromAhead hands out what was read ahead.
-func (p *place) fromAhead(b []byte) (int, error) {
+func (p *clientConn) fromAhead(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.ahead) == 0 {
@@ -218,17 +218,17 @@
 }
 
 // hasLeft tells that the client has ended the connection, whether the server has come to see that or not.
-func (p *place) hasLeft() bool { return p.gone.Load() || realserver.HungUp(p.Conn) }
+func (p *clientConn) hasLeft() bool { return p.gone.Load() || realserver.HungUp(p.Conn) }
 
 // saidMore tells that the client has sent something behind its open request.
-func (p *place) saidMore() bool {
+func (p *clientConn) saidMore() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.pump != nil || len(p.ahead) > 0
 }
 
 // Write implements net.Conn.
-func (p *place) Write(b []byte) (int, error) {
+func (p *clientConn) Write(b []byte) (int, error) {
 	if !p.answered.Load() {
 		p.answered.Store(true)
 	}
@@ -238,7 +238,7 @@
 // Close implements net.Conn. A close over bytes that nobody has read resets the connection, and what its client has not taken of
 // its answer may go with it: behind an answer only the sending ends at first. A connection that rests is closed at once: what comes
 // on it then nobody has read, and its client sends it again.
-func (p *place) Close() error {
+func (p *clientConn) Close() error {
 	p.stopAhead()
 	p.dropAhead()
 	if n, _ := realserver.Peek(p.Conn); n == 0 || !p.answered.Load() || !p.room.linger(p) {
@@ -257,7 +257,7 @@
 }
 
 // dropAhead forgets what was read ahead; nobody will ask for it.
-func (p *place) dropAhead() {
+func (p *clientConn) dropAhead() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.room.ahead.Add(int64(-len(p.ahead)))
@@ -268,7 +268,7 @@
 }
 
 // unheard says why a connection was closed by this node with no answer; false: it was not.
-func (p *place) unheard(stopping bool) (figures.Unheard, bool) {
+func (p *clientConn) unheard(stopping bool) (figures.Unheard, bool) {
 	switch {
 	case p.answered.Load() || p.gone.Load():
 		return 0, false
@@ -283,7 +283,7 @@
 }
 
 // mayGo tells that the connection has rested for long enough to be closed where places are short.
-func (p *place) mayGo(now time.Time) bool {
+func (p *clientConn) mayGo(now time.Time) bool {
 	rest := restTime
 	if !p.heard.Load() {
 		rest = silentTime
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,7 +28,7 @@
 const (
 	bodyMost   = 256 << 10
 	readTime   = 2500 * time.Millisecond // in which a request must have come, head and body
-	idleTime   = 5 * time.Second         // for which an edge connection is kept between requests
+	idleTime   = 5 * time.Second         // for which a client connection is kept between requests
 	headMost   = 16 << 10
 	tokenChars = 4                     // characters of a prompt's token
 	answerMost = 1 << 20               // tokens that may be asked for
@@ -65,7 +65,7 @@
 		if r.Body == http.NoBody {
 			cameWhole(r)
 		}
-		if p, ok := r.Context().Value(placeKey{}).(*place); ok {
+		if p, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
 			ctx, left := context.WithCancel(r.Context())
 			defer left()
 			defer p.watch(left)()
@@ -78,7 +78,9 @@
 	})
 	return &http.Server{Handler: ending, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: headMost,
 		ConnState: room.Note, ErrorLog: zap.NewStdLog(log),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, placeKey{}, c) }}
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientConnKey{}, c)
+		}}
 }
 
 // Handler returns the front's HTTP handler.
@@ -118,7 +120,7 @@
 
 // parting has an answer end its connection once clients are to go elsewhere: they would go on using those that stay open.
 func (f *Front) parting(w http.ResponseWriter, r *http.Request, phase node.Phase) {
-	p, ok := r.Context().Value(placeKey{}).(*place)
+	p, ok := r.Context().Value(clientConnKey{}).(*clientConn)
 	switch {
 	case phase <= node.Serving:
 	case ok && p.saidMore(): // the next request has come already, and would be read and not answered
@@ -233,8 +235,8 @@
 	request standpoint.Request, work node.Work) {
 	work.Method, work.Target = r.Method, r.URL.RequestURI()
 	work.TraceID, work.ContentType = r.Header.Get("X-Trace-Id"), r.Header.Get("Content-Type")
-	at, _ := r.Context().Value(placeKey{}).(*place)
-	flow := node.NewFlow(request, work, &connection{w: w, control: control, place: at, chunked: r.ProtoAtLeast(1, 1)})
+	at, _ := r.Context().Value(clientConnKey{}).(*clientConn)
+	flow := node.NewFlow(request, work, &connection{w: w, control: control, conn: at, chunked: r.ProtoAtLeast(1, 1)})
 	if answered := f.session(w, r, flow); answered {
 		return
 	}
@@ -468,12 +470,12 @@
 	return time.Duration(n) * unit, nil
 }
 
-// connection is the edge connection of one flow.
+// connection is the client connection of one flow.
 type connection struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	place   *place // nil: none that the room holds
-	chunked bool   // the client takes chunks
+	conn    *clientConn // nil: none that the room holds
+	chunked bool        // the client takes chunks
 	patience
 }
 
@@ -493,7 +495,7 @@
 }
 
 // Gone implements node.Leaver.
-func (c *connection) Gone() bool { return c.place != nil && c.place.hasLeft() }
+func (c *connection) Gone() bool { return c.conn != nil && c.conn.hasLeft() }
 
 func (c *connection) Begin() error {
 	c.w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -78,11 +78,11 @@
 	h.line, h.named, h.some = h.line[:0], false, false
 }
 
-type placeKey struct{}
+type clientConnKey struct{}
 
 // cameWhole tells that all of a request has been read.
 func cameWhole(r *http.Request) {
-	if p, ok := r.Context().Value(placeKey{}).(*place); ok {
+	if p, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
 		p.head.next()
 	}
 }
@@ -91,7 +91,7 @@
 // been seen from its first byte on: of one that came behind another request's body nothing is known, and a part of it
 // does not begin with a request's own line, which no other line of a good head can be taken for.
 func plainChunks(r *http.Request) bool {
-	p, ok := r.Context().Value(placeKey{}).(*place)
+	p, ok := r.Context().Value(clientConnKey{}).(*clientConn)
 	if !ok {
 		return false
 	}
--- a/internal/edge/moving.go
+++ b/internal/edge/moving.go
@@ -20,7 +20,7 @@
 	if !c.chunked {
 		return 0, errors.New("a client that does not take chunks")
 	}
-	if c.place != nil && c.place.saidMore() {
+	if c.conn != nil && c.conn.saidMore() {
 		return 0, errors.New("a client that has said more already")
 	}
 	conn, buffered, err := c.control.Hijack()
@@ -28,7 +28,7 @@
 		return 0, err
 	}
 	defer conn.Close()
-	p, ours := conn.(*place)
+	p, ours := conn.(*clientConn)
 	if !ours || buffered.Reader.Buffered() > 0 {
 		return 0, errors.New("a client that has said more already")
 	}
@@ -74,7 +74,7 @@
 	}
 }
 
-// adopted is the edge connection of a flow whose answer another process has begun.
+// adopted is the client connection of a flow whose answer another process has begun.
 type adopted struct {
 	conn net.Conn
 	patience
--- a/internal/edge/operating_test.go
+++ b/internal/edge/operating_test.go
@@ -98,7 +98,7 @@
 	}, 10*time.Second, time.Millisecond)
 }
 
-// idle opens an edge connection, has one request answered on it, and keeps it.
+// idle opens a client connection, has one request answered on it, and keeps it.
 func idle(t *testing.T, n *testpeer.Node, id string) (net.Conn, *bufio.Reader) {
 	c := n.Dial()
 	in := bufio.NewReader(c)
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -30,7 +30,7 @@
 	clearTime = 30 * time.Millisecond // for the rest of a request that comes as connections are cleared
 )
 
-// Room is the listener's side of the edge connections: it keeps them within their share of the descriptors.
+// Room is the listener's side of the client connections: it keeps them within their share of the descriptors.
 // While places are short the connection that has rested longest gives up its own, so that clients who keep
 // connections that they do not use, or say nothing on them, cannot shut others out.
 type Room struct {
@@ -48,7 +48,7 @@
 	freed chan struct{} // holds one sign that a place has been given up
 
 	mu      sync.Mutex
-	places  map[*place]bool
+	conns   map[*clientConn]bool
 	leaving int           // of these, those asked to go
 	away    chan struct{} // closed when clients need not go any longer; nil: they need not
 	ending  bool          // connections end with their answers
@@ -59,7 +59,7 @@
 // NewRoom wraps a listener; the server's ConnState must be the room's Note.
 func NewRoom(l net.Listener, most int, log *zap.Logger) *Room {
 	return &Room{Listener: l, most: most, log: log, closed: make(chan struct{}),
-		freed: make(chan struct{}, 1), places: map[*place]bool{}}
+		freed: make(chan struct{}, 1), conns: map[*clientConn]bool{}}
 }
 
 // SendAway has the connections that rest end, until it is told that clients may stay, or the last one of a closed room went.
@@ -102,16 +102,16 @@
 	defer r.mu.Unlock()
 	select {
 	case <-stop:
-		return len(r.places)
+		return len(r.conns)
 	default:
 	}
 	r.ending = true
-	for p := range r.places {
+	for p := range r.conns {
 		if !p.busy && !p.leaving && (p.asked || r.away != nil) && now.Sub(p.since) >= rest {
 			r.ask(p, now)
 		}
 	}
-	return len(r.places)
+	return len(r.conns)
 }
 
 // Leave closes the room, and has every connection end on which no request is open, until none is left or ctx ends. What has come of
@@ -144,7 +144,7 @@
 
 // ask has a connection that rests end, unless something of a request has come. It is not closed: the server does so once it has
 // found that nothing comes any more.
-func (r *Room) ask(p *place, now time.Time) {
+func (r *Room) ask(p *clientConn, now time.Time) {
 	if p.end(now) {
 		p.leaving = true
 		r.leaving++
@@ -157,7 +157,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for p := range r.places {
+	for p := range r.conns {
 		switch {
 		case p.busy:
 		case p.end(now):
@@ -170,7 +170,7 @@
 }
 
 // linger takes one of the few places for connections that end slowly, where a request has been open until now; lingered gives it back.
-func (r *Room) linger(p *place) bool {
+func (r *Room) linger(p *clientConn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !p.busy || r.lingers.Load() >= lingerMost {
@@ -205,8 +205,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := &place{Conn: c, room: r, since: time.Now()}
-	r.places[p] = true
+	p := &clientConn{Conn: c, room: r, since: time.Now()}
+	r.conns[p] = true
 	return p, nil
 }
 
@@ -221,20 +221,20 @@
 func (r *Room) free(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	short := len(r.places) - r.leaving - (r.most - r.most/8)
+	short := len(r.conns) - r.leaving - (r.most - r.most/8)
 	if short >= 0 {
-		var rests []*place
-		for p := range r.places {
+		var rests []*clientConn
+		for p := range r.conns {
 			if p.mayGo(now) {
 				rests = append(rests, p)
 			}
 		}
-		slices.SortFunc(rests, func(a, b *place) int { return a.since.Compare(b.since) })
+		slices.SortFunc(rests, func(a, b *clientConn) int { return a.since.Compare(b.since) })
 		for _, p := range rests[:min(len(rests), short+1)] {
 			r.ask(p, now)
 		}
 	}
-	if len(r.places) < r.most {
+	if len(r.conns) < r.most {
 		return true
 	}
 	if now.Sub(r.said) > time.Second {
@@ -247,7 +247,7 @@
 // tell says who holds the places while there is none to give.
 func (r *Room) tell(now time.Time) {
 	var busy, silent, fresh, longest = 0, 0, 0, time.Duration(0)
-	for p := range r.places {
+	for p := range r.conns {
 		switch {
 		case p.busy:
 			busy++
@@ -258,7 +258,7 @@
 			fresh++
 		}
 	}
-	r.log.Warn("no place for further edge connections", zap.Int("places", len(r.places)), zap.Int("with_request", busy),
+	r.log.Warn("no place for further client connections", zap.Int("places", len(r.conns)), zap.Int("with_request", busy),
 		zap.Duration("longest", longest), zap.Int("silent", silent), zap.Int("without_head", fresh),
 		zap.Int("asked_to_go", r.leaving))
 }
@@ -268,11 +268,11 @@
 func (r *Room) filling() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.places) >= r.most/2
+	return len(r.conns) >= r.most/2
 }
 
 // count counts a connection that ends without an answer.
-func (r *Room) count(p *place) {
+func (r *Room) count(p *clientConn) {
 	if why, ok := p.unheard(r.away != nil || r.isClosed()); ok {
 		r.Figures.ClosedUnheard(why)
 	}
@@ -282,7 +282,7 @@
 func (r *Room) Note(c net.Conn, state http.ConnState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p, ours := c.(*place)
+	p, ours := c.(*clientConn)
 	if !ours {
 		return
 	}
@@ -304,7 +304,7 @@
 			r.ask(p, p.since)
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(r.places, p)
+		delete(r.conns, p)
 		select {
 		case r.freed <- struct{}{}:
 		default:
@@ -317,7 +317,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
-	for p := range r.places {
+	for p := range r.conns {
 		if p.saidMore() {
 			n++
 		}
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -16,9 +16,9 @@
 	MaxTokens                            float64 // the most that the body allows for its answer; 0: it does not say
 }
 
-// EdgeConnection is the client's side of a flow. Its methods are called by the attempt that claimed the
+// ClientConnection is the client's side of a flow. Its methods are called by the attempt that claimed the
 // flow, one at a time, and never after the flow's answer is out.
-type EdgeConnection interface {
+type ClientConnection interface {
 	Begin() error         // the answer begins
 	Event(b []byte) error // whole events of the answer, to be passed on at once
 }
@@ -50,7 +50,7 @@
 	ErrBroken  = errors.New("the answer is broken off here")
 )
 
-// Leaver is an edge connection that can be asked whether its client has left. It is asked before each attempt begins: that nobody has
+// Leaver is a client connection that can be asked whether its client has left. It is asked before each attempt begins: that nobody has
 // told of it yet does not mean that the client is there.
 type Leaver interface {
 	// Gone must not wait.
@@ -116,7 +116,7 @@
 	Start  int64
 	Holds  float64
 
-	edge EdgeConnection
+	edge ClientConnection
 	done chan Answer // holds one: the final answer
 	idle chan struct{}
 
@@ -128,7 +128,7 @@
 }
 
 // NewFlow makes a flow that is to be answered over edge.
-func NewFlow(request standpoint.Request, work Work, edge EdgeConnection) *Flow {
+func NewFlow(request standpoint.Request, work Work, edge ClientConnection) *Flow {
 	return &Flow{Request: request, Work: work, edge: edge, done: make(chan Answer, 1),
 		idle: make(chan struct{})}
 }
@@ -340,7 +340,7 @@
 	return f.claimed.Server
 }
 
-// Detacher is an edge connection that another process can go on with.
+// Detacher is a client connection that another process can go on with.
 type Detacher interface {
 	// Detach takes the client's connection out of this process's hands: the descriptor is the caller's from then on.
 	Detach() (int, error)
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -164,7 +164,7 @@
 	return n
 }
 
-// Dial opens an edge connection.
+// Dial opens a client connection.
 func (n *Node) Dial() net.Conn {
 	c, err := net.Dial("tcp", n.Address)
 	require.NoError(n.t, err)
