Discovery: a call that is refused rests longer, so that many nodes do not keep it busy with their next calls

At fault: Watcher.rest, 50 ms to 0.5 s behind a refusal.

Now a refusal rests 0.2 to 0.4 s, doubled to 2 s (0.25 to 0.5 s where lists are pushed). Calls that fail otherwise rest as before: they cost a discovery nothing that is down.

--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -38,6 +38,8 @@
 	restLeast = 50 * time.Millisecond   // behind the first call that came to nothing; doubled each time
 	restMost  = 1500 * time.Millisecond // many nodes ask one discovery
 	moveMost  = 500 * time.Millisecond  // of a new discovery, which counts as heard 4 s after the move
+	busyLeast = 400 * time.Millisecond  // behind one that was refused: others are waiting, and each further call is one more
+	busyMost  = 2 * time.Second
 )
 
 // Names turns the list's words into the module's indexes.
@@ -135,6 +137,7 @@
 	seq   int64 // version of the list held; it says nothing to another discovery
 	moved bool  // the list held is another discovery's
 	fails int   // calls in a row that came to nothing
+	busy  int   // of these, the latest that discovery refused
 }
 
 // place is where the list is had, and its words.
@@ -221,10 +224,13 @@
 		switch {
 		case ctx.Err() != nil:
 		case a.err == nil:
-			w.seq, w.moved, w.fails = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0
+			w.seq, w.moved, w.fails, w.busy = a.seq, w.moved && a.list.Kind != standpoint.ListFull, 0, 0
 			w.news(a.list)
 		default:
 			w.moved = w.moved || errors.Is(a.err, errOlder)
+			if w.busy++; !errors.Is(a.err, errBusy) {
+				w.busy = 0
+			}
 			w.log.Info("discovery gave no list", zap.Error(a.err))
 			w.rest(ctx)
 		}
@@ -243,13 +249,17 @@
 	w.log.Info("discovery moved", zap.String("to", to.base))
 	w.http.CloseIdleConnections()
 	w.http = caller()
-	w.at, w.moved, w.fails = to, true, 0
+	w.at, w.moved, w.fails, w.busy = to, true, 0, 0
 }
 
 // rest waits before the call behind one that came to nothing. Half of it is drawn, for all nodes of a fleet may wait together.
 func (w *Watcher) rest(ctx context.Context) {
 	most := min(restMost, restLeast<<min(w.fails, 6))
 	switch {
+	case w.busy > 0 && w.Pushed > 0:
+		most = moveMost
+	case w.busy > 0:
+		most = min(busyMost, busyLeast<<min(w.busy-1, 6))
 	case w.Pushed > 0:
 		most = min(most, w.Pushed)
 	case w.moved:
@@ -274,6 +284,9 @@
 // errOlder is that of a discovery whose versions have begun anew: what it tells as changes is none of the list held.
 var errOlder = errors.New("discovery told changes of an older list")
 
+// errBusy is that of a discovery that has too many callers.
+var errBusy = errors.New("discovery turned the call away")
+
 // ask calls once: for the whole list, or for what is newer than the version held, within the wait.
 func (w *Watcher) ask(ctx context.Context, client *http.Client, at place, after int64, whole bool, wait time.Duration) (int64, node.List, error) {
 	target, most := at.base, wholeTime
@@ -297,6 +310,9 @@
 	if err != nil {
 		return 0, node.List{}, err
 	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		return 0, node.List{}, errBusy
+	}
 	if response.StatusCode != http.StatusOK {
 		return 0, node.List{}, fmt.Errorf("discovery answered %s", response.Status)
 	}
