Test of what is told within 6 s: nothing is counted while the end is waited for

Seen: the last suite run ended red, TestToldWithinSixSeconds with a data race in six of its cases. Ruled out: the watcher. The race is the test's own: its accept loop added to a WaitGroup whose counter could be zero while the cleanup waited on it. The loop and the watcher are counted themselves now, and the listener ends before the wait.

--- a/internal/entries/silent_test.go
+++ b/internal/entries/silent_test.go
@@ -139,15 +139,14 @@
 			t.Parallel()
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			t.Cleanup(func() { l.Close() })
 			began := time.Now()
 			news := make(chan node.List, 100)
 			w := NewWatcher(l.Addr().String(), names, 41, func(l node.List) { news <- l }, zap.NewNop())
 			if c.pushed {
 				w.Pushed = 250 * time.Millisecond
 			}
-			var answers sync.WaitGroup
-			go func() {
+			var open sync.WaitGroup
+			open.Go(func() { // itself counted, so that none is added once the end is waited for
 				last := began
 				for call := 1; ; call++ {
 					conn, err := l.Accept()
@@ -160,7 +159,7 @@
 					}
 					last = time.Now()
 					troubled := call <= c.calls || time.Since(began) < c.lasts
-					answers.Go(func() {
+					open.Go(func() {
 						defer conn.Close()
 						if troubled {
 							c.play(conn)
@@ -174,11 +173,14 @@
 						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 					})
 				}
-			}()
-			t.Cleanup(answers.Wait)
+			})
 			ctx, cancel := context.WithCancel(t.Context())
-			t.Cleanup(cancel)
-			go w.Run(ctx)
+			open.Go(func() { w.Run(ctx) })
+			t.Cleanup(func() {
+				cancel()
+				l.Close()
+				open.Wait()
+			})
 			w.Watch()
 			within := most
 			if c.within > 0 {
