--- a/internal/cli/moments_test.go
+++ b/internal/cli/moments_test.go
@@ -132,6 +132,86 @@
 	}
 }
 
+// A server is told to drain, to the process that serves alone: discovery says nothing to the one that is to take over until its third
+// call. Both were started with a list in which the server stands ready. Nothing more goes there from either, before, in and behind the
+// hand-over, and the new one is ready within 6 s.
+func TestADrainBeforeAnUpgradesHandOver(t *testing.T) {
+	t.Parallel()
+	asked, stays := make(chan string, 1000), make(chan string, 1000)
+	server := func(to chan<- string) string {
+		return testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			to <- r.Header.Get("X-Trace-Id")
+			testpeer.Event(w, "served")
+			testpeer.Finish(w)
+		})
+	}
+	p := newPlatform(t, nil)
+	list := func(seq int, health string) string {
+		host := `{"host":%q,"dial":%q,"site":"a","class":"m","health":%q,"share":1}`
+		return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[`+host+`,`+host+`]}`, seq, "leaves", server(asked), health, "stays", server(stays), "ready")
+	}
+	p.known = json.RawMessage(list(1, "ready"))
+	drained := strings.Replace(strings.Replace(string(p.known), `"ready"`, `"draining"`, 1), `"seq":1`, `"seq":2`, 1)
+	told, held := make(chan struct{}), make(chan struct{}, 100)
+	var wholes atomic.Int32 // calls of the new process for the whole list
+	d := startMoody(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		switch {
+		case err != nil:
+		case r.URL.Query().Get("after") == "1": // the first process has the list that it was started with
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(drained), drained)
+			close(told)
+		case r.URL.Query().Get("after") == "" && wholes.Add(1) > 2:
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(drained), drained)
+		default:
+			held <- struct{}{}
+			silent(c)
+		}
+	})
+	p.discovery = d.address
+	first := p.start()
+	require.Eventually(t, first.ready, 10*time.Second, 5*time.Millisecond)
+	ask := func(id string) error {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		response, err := client.Do(testpeer.Ask(t, p.listen.Addr().String(), id, "3000m"))
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err == nil && !strings.Contains(string(body), "[DONE]") {
+			err = fmt.Errorf("%d %s", response.StatusCode, body)
+		}
+		return err
+	}
+	require.NoError(t, ask("first")) // the watch is asked for with it
+	<-told
+	<-held // the next watch stands: the answer before it is taken in
+	time.Sleep(500 * time.Millisecond)
+	for len(asked) > 0 {
+		<-asked
+	}
+	began := time.Now()
+	second := p.start()
+	for i := 0; !second.ready(); i++ {
+		require.NoError(t, ask(fmt.Sprint("beside-", i)))
+		require.Less(t, time.Since(began), 6*time.Second)
+	}
+	t.Logf("ready after %v and %d calls", time.Since(began), wholes.Load())
+	for i := range 40 { // the system gives either of them the connections
+		require.NoError(t, ask(fmt.Sprint("both-", i)))
+	}
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	for i := range 40 {
+		require.NoError(t, ask(fmt.Sprint("after-", i)))
+	}
+	require.NoError(t, first.Wait())
+	require.NoError(t, ask("alone"))
+	require.Empty(t, asked, "sent to a server that this node was told is leaving")
+	require.GreaterOrEqual(t, len(stays), 82)
+}
+
 // A process is ready within 10 s of its start, whatever discovery does, whether lists are pushed or asked for.
 func TestReadyWhateverDiscoveryDoes(t *testing.T) {
 	t.Parallel()
--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -30,6 +30,7 @@
 	dir       string
 	listen    *net.TCPListener
 	discovery string
+	known     json.RawMessage // the list that processes are started with; nil: none
 }
 
 // log is what a process says, read while it goes on.
@@ -89,10 +90,14 @@
 	return all
 }
 
-// start starts a process of the node; more are further variables.
-func (p *platform) start(more ...string) *process {
+// start starts a process of the node, with further variables.
+func (p *platform) start(variables ...string) *process {
 	q := &process{console: testpeer.FreeAddress(p.t), said: &log{}}
-	raw, err := json.Marshal(platformConfig(p.listen.Addr().String(), p.discovery, map[string]any{"console": q.console}))
+	more := map[string]any{"console": q.console}
+	if p.known != nil {
+		more["known"] = p.known
+	}
+	raw, err := json.Marshal(platformConfig(p.listen.Addr().String(), p.discovery, more))
 	require.NoError(p.t, err)
 	file := filepath.Join(p.t.TempDir(), "config.json")
 	require.NoError(p.t, os.WriteFile(file, raw, 0o600))
@@ -101,7 +106,7 @@
 	defer socket.Close()
 	q.Cmd = exec.Command(p.program)
 	q.ExtraFiles = []*os.File{socket}
-	q.Env = append(append(os.Environ(), "PROXY_CONFIG="+file, "TMPDIR="+p.dir, "PROXY_SOCKET_FD=3"), more...)
+	q.Env = append(append(os.Environ(), "PROXY_CONFIG="+file, "TMPDIR="+p.dir, "PROXY_SOCKET_FD=3"), variables...)
 	q.Stderr = q.said
 	require.NoError(p.t, q.Start())
 	p.t.Cleanup(func() {
