What is handed back is settled or broken off in one step; so is what another process passes on

Seen in the reading: giving a flow back and breaking off its stream were two steps, and only their order kept an answer that begins between them from running on into the kill. They are one now (Flow.handBack), under the lock that an attempt claims the flow with. A stream that another process passes on behind that moment was not handed back at all, and would have been cut by the kill (Core.receive, adopted).

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -385,6 +385,9 @@
 		m.f.Request.ID = c.nextID
 		c.flows[c.nextID] = m.f
 		m.f.arrived = time.Now()
+		if c.leaving { // another process passed it on as this one gave back all that it has
+			c.giveBack(m.f, true)
+		}
 	case advised:
 		c.decide(m.a)
 	case learned:
@@ -394,13 +397,7 @@
 	case handBack:
 		c.leaving = c.leaving || m.all
 		for _, f := range c.flows {
-			// One that an attempt claims meanwhile is not given back, and then is broken off.
-			if m.all {
-				c.giveBack(f)
-			}
-			if c.Settings.Resume {
-				f.breakOff(ErrHandedBack)
-			}
+			c.giveBack(f, m.all)
 		}
 	case taken:
 		// Clients go on sending on every connection that is open until the kill, which is near.
@@ -443,14 +440,17 @@
 	}
 }
 
-// giveBack ends a flow that this node cannot bring to an end. That trying again is harmless is said only where it is true: an
-// attempt may have run.
-func (c *Core) giveBack(f *Flow) {
-	answer := Answer{Kind: TurnedDown, Wait: handBackWait, Unsent: len(f.attempts) == 0}
-	if !c.router.MayShed(f.Request.ID) {
-		answer = Answer{Kind: Failed}
+// giveBack ends a flow that this node cannot bring to an end: one that has begun, where its client asks another node for the rest,
+// and, with all, one that waits. That trying again is harmless is said only where it is true: an attempt may have run.
+func (c *Core) giveBack(f *Flow, all bool) {
+	var answer *Answer
+	switch {
+	case all && c.router.MayShed(f.Request.ID):
+		answer = &Answer{Kind: TurnedDown, Wait: handBackWait, Unsent: len(f.attempts) == 0}
+	case all:
+		answer = &Answer{Kind: Failed}
 	}
-	if f.settle(answer) {
+	if f.handBack(answer, c.Settings.Resume) {
 		c.decide(&standpoint.Left{Request: f.Request.ID})
 		c.forget(f)
 	}
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -75,3 +75,71 @@
 	<-c.Stopped()
 	require.LessOrEqual(t, len(c.timers), 2*timersLeast)
 }
+
+// An answer begins in the very moment in which all is handed back: before it, behind it, or while its flow's lock is held until both
+// stand before that. In each case the client has one end of it, and a stream that began does not run on into the kill.
+func TestAnAnswerBeginsAsAllIsHandedBack(t *testing.T) {
+	t.Parallel()
+	for i := range 300 {
+		c, h := start(t.Context(), 1, 10)
+		c.Settings.Resume = true
+		f := NewFlow(standpoint.Request{PromptTokens: 10, MaxTokens: 10, Expires: c.Expires(time.Now(), time.Minute)}, Work{}, begins{})
+		over := make(chan Answer, 1)
+		go func() {
+			a, _ := c.Serve(t.Context(), f)
+			over <- a
+		}()
+		a := <-h.sent
+		first := make(chan bool, 1)
+		switch i % 3 {
+		case 0:
+			first <- a.First()
+			c.HandBack(true)
+		case 1:
+			c.HandBack(true)
+			<-a.Context().Done()
+			first <- a.First()
+		case 2: // either order is right
+			f.mu.Lock()
+			c.HandBack(true)
+			go func() { first <- a.First() }()
+			time.Sleep(time.Duration(i%4) * 100 * time.Microsecond)
+			f.mu.Unlock()
+		}
+		begun := <-first
+		if i%3 < 2 {
+			require.Equal(t, i%3 == 0, begun)
+		}
+		select {
+		case <-a.Context().Done():
+		case <-time.After(10 * time.Second):
+			t.Fatalf("begun: %v, and the attempt goes on", begun)
+		}
+		if answer := <-over; begun {
+			require.Equal(t, Broken, answer.Kind)
+			require.ErrorIs(t, context.Cause(a.Context()), ErrHandedBack)
+		} else {
+			require.Equal(t, TurnedDown, answer.Kind)
+		}
+	}
+}
+
+// A stream that another process passes on behind the moment in which all was handed back ends as those did.
+func TestAdoptedAsAllIsHandedBack(t *testing.T) {
+	t.Parallel()
+	c, _ := start(t.Context(), 1, 10)
+	c.Settings.Resume = true
+	c.HandBack(true)
+	a, err := c.Adopt(t.Context(), flow(c, 0, time.Minute), func(a *Attempt) {
+		<-a.Context().Done()
+		a.End(Result{Code: standpoint.Cancelled})
+	})
+	require.NoError(t, err)
+	require.Equal(t, Broken, a.Kind)
+}
+
+// begins is a client that takes everything.
+type begins struct{}
+
+func (begins) Begin() error       { return nil }
+func (begins) Event([]byte) error { return nil }
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -179,17 +179,27 @@
 func (f *Flow) breakOff(why error) {
 	f.mu.Lock()
 	a := f.claimed
-	var leave func() bool
+	f.mu.Unlock()
 	if a != nil {
-		leave = a.leave
+		a.breakOff(why)
+	}
+}
+
+// handBack settles the flow with an answer, if there is one, or, where begun is set, breaks off the attempt that has claimed it.
+// Which of the two is decided in one step: an attempt that claims the flow meanwhile came before, and is broken off, or comes
+// behind, and finds the flow over. It returns whether the flow was settled.
+func (f *Flow) handBack(answer *Answer, begun bool) (settled bool) {
+	f.mu.Lock()
+	a := f.claimed
+	if a == nil && answer != nil && !f.over {
+		f.over, settled = true, true
+		f.done <- *answer
 	}
 	f.mu.Unlock()
-	switch {
-	case a == nil:
-	case errors.Is(why, ErrHandedBack) && leave != nil && leave():
-	default:
-		a.stop(why)
+	if a != nil && begun {
+		a.breakOff(ErrHandedBack)
 	}
+	return settled
 }
 
 // Attempt is one try of a flow at a real server. A real server's actor calls Context, First, Event and End.
@@ -217,6 +227,15 @@
 	leave func() bool   // likewise: ends the stream once what has come of it is passed on; nil: by its context alone
 }
 
+func (a *Attempt) breakOff(why error) {
+	a.Flow.mu.Lock()
+	leave := a.leave
+	a.Flow.mu.Unlock()
+	if !errors.Is(why, ErrHandedBack) || leave == nil || !leave() {
+		a.stop(why)
+	}
+}
+
 // OnHandBack sets what has the attempt's stream end, once it is handed back, behind all that its server has sent by then.
 // leave must not wait; false: it cannot, and the attempt's context ends.
 func (a *Attempt) OnHandBack(leave func() bool) {
