Where no load is told: no own zone, waits bound predictions, what is in vain counts as missed

At fault: atHome, predict, pressed's callers (onFirst alone), rescue (called off before it was paid for). With reports nothing changes but rescue's payment.

--- /dev/null
+++ b/blind_test.go
@@ -0,0 +1,155 @@
+package standpoint
+
+import (
+	"testing"
+)
+
+// blind is a deployment whose engines tell nobody their load.
+func blind() Settings {
+	s := base()
+	s.Reports, s.SecondCopies, s.Zones, s.CrossZonePrice, s.Balancers = ReportNone, false, 5, 0.015, 10
+	return s
+}
+
+// inZones are n engines, one after the other in each zone.
+func inZones(n, zones int) *EngineList {
+	l := &EngineList{Kind: ListFull}
+	for i := range n {
+		l.Engines = append(l.Engines, Engine{Name: name(i), Size: 1, Zone: i % zones})
+	}
+	return l
+}
+
+// A gateway that sees no load does not know whether its zone bears its traffic: it uses the whole fleet, unless crossing costs more
+// than that. With reports it prefers its own zone.
+func TestWithoutLoadsTheOwnZoneIsNotPreferred(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		reports ReportMode
+		price   float64
+		home    bool
+	}{{ReportNone, 0.015, false}, {ReportNone, 0.3, true}, {ReportReplies, 0.015, true}} {
+		s := blind()
+		s.Reports, s.CrossZonePrice, s.WarmUp = c.reports, c.price, 0
+		r := New(s, 1)
+		list := inZones(50, s.Zones)
+		feed(r, second, list)
+		own, all := 0, 0
+		for id := range int64(400) {
+			now := second + id*100*ms
+			for _, a := range feed(r, now, ask(id+1, now+4*second)) {
+				if a.Kind == Send {
+					all++
+					if r.engines[a.Engine].Zone == s.Zone {
+						own++
+					}
+					feed(r, now+50*ms, &FirstToken{Request: id + 1, Elapsed: 50 * ms}, &Outcome{Request: id + 1, Code: Served, Engine: a.Engine, Elapsed: 90 * ms})
+				}
+			}
+		}
+		share := float64(own) / float64(all)
+		if c.home != (share > 0.6) || !c.home && share > 0.35 {
+			t.Errorf("%+v: %.2f of %d in the own zone", c, share, all)
+		}
+	}
+}
+
+// An engine that keeps its requests waiting is not sent more on the word of those that it answered before: neither by its rank, nor
+// since it keeps the prompt.
+func TestWithoutLoadsWaitsShowThem(t *testing.T) {
+	t.Parallel()
+	s := blind()
+	s.Zones, s.CrossZonePrice, s.Balancers, s.Cancel = 1, 0, 1, false
+	r := New(s, 1)
+	feed(r, second, ready("a", "b"))
+	kept := &Request{ID: 1, Expires: 5 * second, Session: 7, PromptTokens: 4000, MaxTokens: 100}
+	first := feed(r, second, kept)
+	expect(t, first, "send ")
+	busy := first[0].Engine
+	feed(r, second+50*ms, &FirstToken{Request: 1, Elapsed: 50 * ms}, &Outcome{Request: 1, Code: Served, Engine: busy, Kept: 4000, Elapsed: 90 * ms})
+	now := 2 * second
+	again := func(id int64) string {
+		q := *kept
+		q.ID, q.Expires = id, now+4*second
+		for _, a := range feed(r, now, &q) {
+			if a.Kind == Send {
+				return a.Engine
+			}
+		}
+		return ""
+	}
+	if got := again(2); got != busy {
+		t.Fatalf("%q, and %q keeps the prompt", got, busy)
+	}
+	now += 1600 * ms // its first token is late, and no other word has come
+	if got := again(3); got == busy || got == "" {
+		t.Fatalf("%q has said nothing for 1.6 s", got)
+	}
+	now += 2500 * ms // both waits are over without a token
+	feed(r, now, &Outcome{Request: 2, Code: NoAnswer, Engine: busy, Elapsed: 4 * second})
+	if w := r.waits(r.engines[busy]); w < 4 {
+		t.Errorf("%v s are forgotten", w)
+	}
+	tick(r, now+10*second)
+	if w := r.waits(r.engines[busy]); w > 0.2 {
+		t.Errorf("%v s are remembered for ever", w)
+	}
+}
+
+// Attempts that end without a first token show an overload: a part is refused at once, soon after the start too, and nothing is called
+// off to be read again elsewhere. Aims that are met bring it back. With reports they count as before.
+func TestWithoutLoadsWhatIsInVainIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, reports := range []ReportMode{ReportNone, ReportReplies} {
+		s := blind()
+		s.Reports = reports
+		r := New(s, 1)
+		feed(r, second, inZones(10, s.Zones))
+		id, now := int64(0), second
+		play := func(n int, answered bool) (refused int) {
+			for range n {
+				id, now = id+1, now+300*ms
+				for _, a := range feed(r, now, ask(id, now+4*second)) {
+					switch {
+					case a.Kind == Shed:
+						refused++
+					case a.Kind == Send && answered:
+						feed(r, now+50*ms, &FirstToken{Request: id, Elapsed: 50 * ms}, &Outcome{Request: id, Code: Served, Engine: a.Engine, Elapsed: 90 * ms})
+					case a.Kind == Send:
+						r.engines[a.Engine].speed = 0 // the fleet's trouble, not its own
+						feed(r, now+4*second, &Outcome{Request: id, Code: NoAnswer, Last: true, Engine: a.Engine, Elapsed: 4 * second})
+					}
+				}
+			}
+			return refused
+		}
+		play(3, false)
+		soon := play(12, false)
+		if reports == ReportNone && (soon < 3 || !r.vain()) || reports != ReportNone && soon > 0 {
+			t.Errorf("%v: %d of 12 refused behind 3 in vain", reports, soon)
+		}
+		play(80, true)
+		if back := play(40, true); back > 2 {
+			t.Errorf("%v: %d of 40 refused once all is well", reports, back)
+		}
+	}
+}
+
+// Calling an attempt off is paid for with the right to repeat it: none is called off that then could not be tried elsewhere.
+func TestCallingOffIsPaidFor(t *testing.T) {
+	t.Parallel()
+	s := base()
+	s.SecondCopies, s.Balancers, s.Classes[0].LateWorth = false, 1, 0.5
+	r := New(s, 1)
+	feed(r, second, ready("a"))
+	for id := range int64(6) {
+		expect(t, feed(r, second, ask(id+1, 9*second)), "send ")
+	}
+	r.retries = 2
+	feed(r, second, ready("a", "b", "c", "d"))
+	called := feed(r, 8*second, &TimerFired{Token: tokenTick})
+	expect(t, called, "cancel cancel ")
+	for _, a := range called {
+		expect(t, feed(r, 8*second, &Outcome{Request: a.Request, Attempt: 0, Code: Cancelled, Engine: "a", Elapsed: 7 * second}), "send ")
+	}
+}
--- a/router.go
+++ b/router.go
@@ -244,8 +244,8 @@
 func (r *Router) tooPoor(q *request) bool {
 	d := r.density(q)
 	below, n := r.note(d)
-	r.cut, r.cutAt = max(0, r.cut-cutFade*seconds(r.now-r.cutAt)), r.now
-	poor := n >= 8 && r.cut > 0 && float64(below) < r.cut*float64(n)
+	r.cut, r.cutAt = max(0, r.cut-r.fade()*seconds(r.now-r.cutAt)), r.now
+	poor := n >= r.known() && r.cut > 0 && float64(below) < r.cut*float64(n)
 	return r.refuse(q, poor)
 }
 
@@ -348,6 +348,7 @@
 		r.streams--
 	}
 	r.dropWaiting(a)
+	r.unanswered(a, ev.Code)
 	switch ev.Code {
 	case Served:
 		r.alive(a)
@@ -374,12 +375,13 @@
 	if q.outstanding() > 0 {
 		return
 	}
-	poor := r.retries < 1 && code != NoConnection && code != NotSent
+	paid := code == NotSent || code == Cancelled // it cost nothing, or was paid for as it was called off
+	poor := r.retries < 1 && code != NoConnection && !paid
 	if poor || r.now >= q.Expires-2*r.set.Tick || r.hopeless(q) {
 		r.end(q)
 		return
 	}
-	if code != NotSent { // that cost nobody anything
+	if !paid {
 		r.retries--
 	}
 	r.place(q)
@@ -507,7 +509,7 @@
 		// may have come through other gateways, which assume the same home.
 		gated = best(all, func(o *option) bool { return o.home })
 	}
-	if wide || gated == nil || gated.ttft-top.ttft > breakTTFT {
+	if wide || gated == nil || gated.ttft-top.ttft > r.breaks(q) {
 		return top
 	}
 	return gated
@@ -636,7 +638,7 @@
 	if r.thin() && r.now < r.coldUntil {
 		spill = max(spill, thinSpill)
 	}
-	return r.set.CrossZonePrice > 0 && r.set.Zones > 1 && unit(mix(q.key(), prefixSalt)) >= spill
+	return r.set.CrossZonePrice > r.blindCross() && r.set.Zones > 1 && unit(mix(q.key(), prefixSalt)) >= spill
 }
 
 // ---- match table and assumed homes ----
@@ -702,7 +704,7 @@
 	o.x = r.features(q, o.e, o.match)
 	k := r.kind(o.e)
 	f := math.Exp(o.e.speed)
-	o.ttft = r.ttft[k].at(&o.x) * f
+	o.ttft = max(r.ttft[k].at(&o.x)*f, r.waits(o.e))
 	sway := r.gapSway() + max(0, o.e.speed)
 	if own := o.e.drag.n / (o.e.drag.n + dragTrust); own > 0 { // told gaps show this engine's own
 		sway += own * (o.e.drag.mean - sway)
@@ -724,8 +726,7 @@
 func (r *Router) observeTTFT(a *attempt, took float64) {
 	r.train(r.ttft, a, took)
 	k := r.kind(a.e)
-	off := math.Log(max(took, 1e-4) / r.ttft[k].at(&a.x))
-	off = min(2.5, max(-2.5, off))
+	off := min(2.5, max(-2.5, math.Log(max(took, 1e-4)/r.ttft[k].at(&a.x))))
 	a.e.speed = min(2.3, max(-0.7, a.e.speed+speedRate*(off-a.e.speed)))
 }
 
@@ -938,15 +939,15 @@
 // rescue tries elsewhere what waits on a suspect engine.
 func (r *Router) rescue(a *attempt) {
 	q := a.q
-	if q.done || q.begun != nil || a.calling || !a.overdue(r.now) {
+	if q.done || q.begun != nil || a.calling || !a.overdue(r.now) || r.retries < 1 {
 		return
 	}
-	if r.set.SecondCopies { // a further copy while the first may still answer
-		if q.outstanding() == 1 && r.retries >= 1 && !r.hopeless(q) && r.cut <= hedgeCut {
-			r.retries--
-			r.place(q)
-		}
-	} else if r.set.Cancel && r.class(q).Effect == Safe && r.retries >= 1 {
+	switch {
+	case r.set.SecondCopies && q.outstanding() == 1 && !r.hopeless(q) && r.cut <= hedgeCut: // a further copy
+		r.retries--
+		r.place(q)
+	case !r.set.SecondCopies && r.set.Cancel && r.class(q).Effect == Safe && !r.vain():
+		r.retries--
 		a.calling = true
 		r.do(Action{Kind: Cancel, Request: q.ID, Attempt: a.leg})
 	}
--- a/state.go
+++ b/state.go
@@ -30,6 +30,8 @@
 	drag       mean    // log of told over predicted token gap
 	sour       float64 // share of errors and turn-downs among its latest answers
 	trialAt    int64
+	lateWait   float64 // seconds that attempts waited in vain, of late
+	lateAt     int64   // when the latest of them ended
 	due        bool    // put back by hand and not in use since
 	coldTokens float64 // requests the cold budget allows now
 	coldAt     int64
@@ -629,3 +631,78 @@
 	q := r.open[id]
 	return q == nil || r.mayShed(q)
 }
+
+// Where no load is told of the engines, a gateway knows of what the others send from its own waits alone.
+const (
+	blindPrice = 0.1  // of a crossing, below which such a gateway ranks without regard to its zone: it cannot see whether that bears its traffic
+	lateHalf   = 2.0  // seconds in which what was waited in vain counts half
+	blindFade  = 0.02 // fall of the refused part in a second: aims that are met tell of the load, time does not
+	blindLeast = 2    // requests that the poorest are found among; others need knownLeast
+	knownLeast = 8
+)
+
+func (r *Router) blind() bool { return r.set.Reports == ReportNone }
+
+// blindCross is the price of a crossing from which the own zone comes first.
+func (r *Router) blindCross() float64 {
+	if r.blind() {
+		return blindPrice
+	}
+	return 0
+}
+
+// waits is how long a first token takes at the engine at the least, in seconds, where no load is told: as long as the oldest attempt
+// there has waited, or as one did that ended without.
+func (r *Router) waits(e *engine) float64 {
+	if !r.blind() {
+		return 0
+	}
+	least := e.lateWait * math.Exp2(-seconds(r.now-e.lateAt)/lateHalf)
+	if len(e.waiting) > 0 {
+		least = max(least, seconds(r.now-e.waiting[0].sent))
+	}
+	return least
+}
+
+// breaks is how far, in seconds, the gated best may trail the best overall: where no load is told no further than the aim, for what
+// is known of it comes from waits that are over.
+func (r *Router) breaks(q *request) float64 {
+	if aim := r.aim(q); r.blind() && aim > 0 {
+		return min(breakTTFT, aim)
+	}
+	return breakTTFT
+}
+
+// fade is how fast the refused part falls, in parts a second.
+func (r *Router) fade() float64 {
+	if r.blind() {
+		return blindFade
+	}
+	return cutFade
+}
+
+// known is how many requests must have come before the poorest are refused. Where no load is told a gateway that has just started
+// must not add to an overload for long.
+func (r *Router) known() int {
+	if r.blind() {
+		return blindLeast
+	}
+	return knownLeast
+}
+
+// vain tells that what is called off is likely lost: the servers of an overloaded fleet, whose load nobody tells, have read it for
+// nothing, and read it again elsewhere.
+func (r *Router) vain() bool { return r.blind() && r.cut > hedgeCut }
+
+// unanswered notes, where no load is told, an attempt that ended without a first token. Behind its aim that shows an overload as a
+// late one does, and more: its server's work was in vain, so as many aims are set against it as undo one.
+func (r *Router) unanswered(a *attempt, code Code) {
+	if !r.blind() || a.first != 0 || code != NoAnswer && code != Cancelled {
+		return
+	}
+	waited, aim := seconds(r.now-a.sent), r.aim(a.q)
+	a.e.lateWait, a.e.lateAt = max(waited, a.e.lateWait*math.Exp2(-seconds(r.now-a.e.lateAt)/lateHalf)), r.now
+	for i := 0.0; i < cutDown && aim > 0 && waited > aim; i++ {
+		r.pressed(a.e, true)
+	}
+}
