--- a/blind_test.go
+++ b/blind_test.go
@@ -123,10 +123,10 @@
 			}
 			return refused
 		}
-		play(3, false)
-		soon := play(12, false)
-		if reports == ReportNone && (soon < 3 || !r.vain()) || reports != ReportNone && soon > 0 {
-			t.Errorf("%v: %d of 12 refused behind 3 in vain", reports, soon)
+		early := play(7, false) // before there are as many as others wait for
+		soon := play(8, false)
+		if reports == ReportNone && (early < 1 || soon < 2 || !r.vain()) || reports != ReportNone && early+soon > 0 {
+			t.Errorf("%v: %d of 7, then %d of 8 refused", reports, early, soon)
 		}
 		play(80, true)
 		if back := play(40, true); back > 2 {
@@ -135,6 +135,43 @@
 	}
 }
 
+// The part that is refused falls as aims are met; where no load is told time alone hardly changes it, for the next requests find
+// the servers as the last ones left them.
+func TestWithoutLoadsTimeTellsNothing(t *testing.T) {
+	t.Parallel()
+	for reports, least := range map[ReportMode]float64{ReportNone: 0.35, ReportReplies: 0} {
+		s := blind()
+		s.Reports = reports
+		r := New(s, 1)
+		feed(r, second, ready("a"))
+		r.cut, r.cutAt = 0.5, second
+		feed(r, 6*second, ask(1, 9*second))
+		if r.cut < least || least == 0 && r.cut > 0 {
+			t.Errorf("%v: %.2f after 5 s", reports, r.cut)
+		}
+	}
+}
+
+// What waits on an engine that says nothing is called off, to be tried elsewhere; not while the fleet is overloaded and nobody tells the
+// load, for its engines would read it twice.
+func TestWithoutLoadsNothingIsCalledOffInAnOverload(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		reports ReportMode
+		cut     float64
+		want    string
+	}{{ReportNone, 0, "cancel "}, {ReportNone, 0.5, ""}, {ReportReplies, 0.5, "cancel "}} {
+		s := blind()
+		s.Reports, s.Classes[0].LateWorth = c.reports, 0.5
+		r := New(s, 1)
+		feed(r, second, ready("a"))
+		expect(t, feed(r, second, ask(1, 9*second)), "send ")
+		feed(r, second, ready("a", "b", "c", "d"))
+		r.cut, r.cutAt = c.cut, second
+		expect(t, tick(r, 4*second), c.want)
+	}
+}
+
 // Calling an attempt off is paid for with the right to repeat it: none is called off that then could not be tried elsewhere.
 func TestCallingOffIsPaidFor(t *testing.T) {
 	t.Parallel()
