--- a/internal/batch/story_test.go
+++ b/internal/batch/story_test.go
@@ -177,7 +177,7 @@
 		return run(line, try)
 	})
 	b2 := testpeer.NewBatchServer(t, ledger, run)
-	entries := []node.ServiceEntry{testpeer.Entry("s1", streaming(t, ledger, run)),
+	entries := []node.Endpoint{testpeer.Entry("s1", streaming(t, ledger, run)),
 		testpeer.Entry("s2", streaming(t, ledger, run)), testpeer.Entry("b1", b1.Address), testpeer.Entry("b2", b2.Address)}
 	entries[2].Batch, entries[3].Batch = true, true
 	entries[2].Kind, entries[3].Kind = 1, 1
--- a/internal/cli/entries.go
+++ b/internal/cli/entries.go
@@ -15,7 +15,7 @@
 )
 
 func (o *options) entriesCommand() *cobra.Command {
-	c := &cobra.Command{Use: "entries", Short: "Show the service entries, and where they come from", Args: faulty(cobra.NoArgs),
+	c := &cobra.Command{Use: "entries", Short: "Show the endpoints, and where they come from", Args: faulty(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	o.daemonFlags(c)
 	c.AddCommand(&cobra.Command{Use: "list", Short: "List all entries, those that are left out too", Args: faulty(cobra.NoArgs),
--- a/internal/daemon/entriesparts.go
+++ b/internal/daemon/entriesparts.go
@@ -50,12 +50,12 @@
 		}
 		return all, nil
 	}})
-	p := part{name: "service entries", run: together(a.keeper.Run, a.source.Run)}
+	p := part{name: "endpoints", run: together(a.keeper.Run, a.source.Run)}
 	if browsers == nil {
 		replaced := map[string]int64{} // when a name that tells no start was given another address; as many as were listed
 		p.reload = func(next deployment) {
 			l := listed(next.operator)
-			was := map[string]node.ServiceEntry{}
+			was := map[string]node.Endpoint{}
 			for _, e := range a.keeper.Current() {
 				was[e.Name] = e
 			}
@@ -69,7 +69,7 @@
 				}
 			}
 			maps.DeleteFunc(replaced, func(name string, _ int64) bool {
-				return !slices.ContainsFunc(l.Entries, func(e node.ServiceEntry) bool { return e.Name == name })
+				return !slices.ContainsFunc(l.Entries, func(e node.Endpoint) bool { return e.Name == name })
 			})
 			a.news(l)
 		}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -48,7 +48,7 @@
 		r.Register(collectors.NewGoCollector()),
 		r.Register(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})),
 		r.Register(gauge("open_flows", "Flows that wait for their answer.", func() float64 { return float64(a.core.Open()) })),
-		r.Register(gauge("service_entries", "Service entries in use.", func() float64 { return float64(len(a.keeper.Current())) })),
+		r.Register(gauge("service_entries", "Endpoints in use.", func() float64 { return float64(len(a.keeper.Current())) })),
 		r.Register(counted{a.figures}),
 		r.Register(gauge("nodes", "Nodes by which the module divides.", func() float64 { return float64(max(1, a.nodes.Load())) })),
 	)
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -193,7 +193,7 @@
 	a.core.Adjust(a.counted(a.inForce), a.inForce.limits.Flows())
 }
 
-// keep makes the keeper, which notes every change of the service entries for the store, and has it hand them on to
+// keep makes the keeper, which notes every change of the endpoints for the store, and has it hand them on to
 // the core.
 func (a *assembly) keep() {
 	a.keeper = entries.NewKeeper(a.keys, a.log)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -89,7 +89,7 @@
 			return part{}, fmt.Errorf("known: %w", err)
 		}
 		if len(faults) > 0 {
-			a.log.Warn("known: service entries that cannot be used", zap.Errors("faults", faults))
+			a.log.Warn("known: endpoints that cannot be used", zap.Errors("faults", faults))
 		}
 	}
 	a.keep()
@@ -106,7 +106,7 @@
 	}
 	a.source = watcher
 	start := func(context.Context) { a.news(known) } // what this node last held; it may be old, and the first watch puts it right
-	return part{name: "service entries", start: start, run: together(a.keeper.Run, watcher.Run), reload: func(next deployment) {
+	return part{name: "endpoints", start: start, run: together(a.keeper.Run, watcher.Run), reload: func(next deployment) {
 		if was, now := a.now.platform, next.platform; now.Discovery != was.Discovery || !reflect.DeepEqual(now.Names, was.Names) {
 			watcher.Move(now.Discovery, entries.Names{Zones: now.Names.Zones, Kinds: now.Names.Kinds})
 		}
@@ -185,7 +185,7 @@
 	})
 }
 
-// listed are the service entries that an operator's file lists by hand.
+// listed are the endpoints that an operator's file lists by hand.
 func listed(cfg *config.Operator) node.List {
 	l := node.List{Kind: standpoint.ListFull}
 	index := func(names []string, name string) int {
@@ -197,7 +197,7 @@
 		return 0
 	}
 	for _, s := range cfg.RealServers {
-		l.Entries = append(l.Entries, node.ServiceEntry{Address: s.Address, Batch: s.Mode == "batch", Labels: s.Labels,
+		l.Entries = append(l.Entries, node.Endpoint{Address: s.Address, Batch: s.Mode == "batch", Labels: s.Labels,
 			Engine: standpoint.Engine{Name: s.Name, Size: s.Size, Zone: index(cfg.Names.Zones, s.Zone),
 				Kind: index(cfg.Names.Kinds, s.Kind), State: s.State(), ReadyAt: s.ReadyAt()}})
 	}
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -124,7 +124,7 @@
 	_, err = corePart(a)
 	require.NoError(t, err)
 	a.source.Run(t.Context())
-	entry := func() node.ServiceEntry { return a.keeper.Current()[0] }
+	entry := func() node.Endpoint { return a.keeper.Current()[0] }
 	require.Zero(t, entry().ReadyAt)
 	p.reload(a.deployment)
 	require.Zero(t, entry().ReadyAt)
--- a/internal/entries/browsers.go
+++ b/internal/entries/browsers.go
@@ -28,7 +28,7 @@
 // running is a browser and what it last told.
 type running struct {
 	*Browser
-	part []node.ServiceEntry
+	part []node.Endpoint
 	has  bool // it has told, or the store has had its part
 	own  bool // it has told
 	stop context.CancelFunc
--- a/internal/entries/byhand_test.go
+++ b/internal/entries/byhand_test.go
@@ -16,7 +16,7 @@
 )
 
 // coreSaw is what the core has been told of each name.
-type coreSaw map[string]node.ServiceEntry
+type coreSaw map[string]node.Endpoint
 
 func (c coreSaw) take(l node.List) {
 	if l.Kind == standpoint.ListFull {
@@ -34,16 +34,16 @@
 	return NewByHand(NewKeeper(keys, zap.NewNop()), core.take, share, zap.NewNop()), core
 }
 
-func entry(name string, state standpoint.State, start int64) node.ServiceEntry {
-	return node.ServiceEntry{Address: "127.0.0.1:1", Engine: standpoint.Engine{Name: name, State: state, ReadyAt: start, Size: 1}}
+func entry(name string, state standpoint.State, start int64) node.Endpoint {
+	return node.Endpoint{Address: "127.0.0.1:1", Engine: standpoint.Engine{Name: name, State: state, ReadyAt: start, Size: 1}}
 }
 
 // Out by hand holds whatever the sources tell; back is a fresh start, which an older one told late does not undo.
 func TestOutAndBackByHand(t *testing.T) {
 	b, core := overlay(t, nil)
-	full := func(all ...node.ServiceEntry) { b.News(node.List{Kind: standpoint.ListFull, Entries: all}) }
-	delta := func(e node.ServiceEntry) {
-		b.News(node.List{Kind: standpoint.ListDelta, Entries: []node.ServiceEntry{e}})
+	full := func(all ...node.Endpoint) { b.News(node.List{Kind: standpoint.ListFull, Entries: all}) }
+	delta := func(e node.Endpoint) {
+		b.News(node.List{Kind: standpoint.ListDelta, Entries: []node.Endpoint{e}})
 	}
 	full(entry("a", standpoint.Ready, 5), entry("b", standpoint.Ready, 0))
 	require.ErrorIs(t, b.Down("c"), ErrNeverListed)
@@ -100,7 +100,7 @@
 	}
 	first := open()
 	old, oldCore := overlay(t, first)
-	list := node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{entry("a", standpoint.Ready, 5), entry("b", standpoint.Ready, 5)}}
+	list := node.List{Kind: standpoint.ListFull, Entries: []node.Endpoint{entry("a", standpoint.Ready, 5), entry("b", standpoint.Ready, 5)}}
 	old.News(list)
 	require.NoError(t, old.Down("a"))
 	require.NoError(t, first.Close()) // this process's mark; a second one of the same number cannot be made beside it
@@ -116,7 +116,7 @@
 	require.Equal(t, standpoint.Ready, core["a"].State)
 	require.True(t, core["a"].Back)
 	require.Equal(t, oldCore["a"].ReadyAt, core["a"].ReadyAt)
-	old.News(node.List{Kind: standpoint.ListDelta, Entries: []node.ServiceEntry{entry("once", standpoint.Ready, 0)}})
+	old.News(node.List{Kind: standpoint.ListDelta, Entries: []node.Endpoint{entry("once", standpoint.Ready, 0)}})
 	old.Keep()
 	next.Sync()
 	require.NoError(t, next.Down("once"))
--- a/internal/entries/dnssd.go
+++ b/internal/entries/dnssd.go
@@ -19,7 +19,7 @@
 	"standpoint/internal/node"
 )
 
-// Browser is the actor of service entries that are published as DNS-SD records (RFC 6763): it turns what a finder has
+// Browser is the actor of endpoints that are published as DNS-SD records (RFC 6763): it turns what a finder has
 // found into the list that the core is told. TXT keys are those of the platform's list: site, class, block, health,
 // share, born_ms; and mode, stream or batch; all others are labels.
 //
@@ -41,9 +41,9 @@
 
 	// The actor's alone.
 	last    *discovery.Sight
-	first   bool                         // nothing was told yet
-	told    []node.ServiceEntry          // what the core was last told, by name
-	entries map[string]node.ServiceEntry // by full instance name; those that are in use
+	first   bool                     // nothing was told yet
+	told    []node.Endpoint          // what the core was last told, by name
+	entries map[string]node.Endpoint // by full instance name; those that are in use
 	listed  map[string]bool
 	faults  map[string]string // why the others are not
 	serial  *uint32
@@ -67,7 +67,7 @@
 	sameStart = 2 * time.Second
 )
 
-// Origin says where a service entry comes from, or why an instance is none.
+// Origin says where an endpoint comes from, or why an instance is none.
 type Origin struct {
 	Name     string    `json:"name"`
 	Instance string    `json:"instance,omitempty"` // its full name; "" for one that the operator's file lists
@@ -85,7 +85,7 @@
 }
 
 // Describe says where an entry comes from, as far as the entry itself tells.
-func Describe(e node.ServiceEntry) Origin {
+func Describe(e node.Endpoint) Origin {
 	o := Origin{Name: e.Name, Address: e.Address, Stale: e.Stale, State: word(healths, int(e.State))}
 	if e.ReadyAt > 0 {
 		o.Started = time.Unix(0, e.ReadyAt)
@@ -159,7 +159,7 @@
 	if b.Guard.Judge(len(b.listed), still, newer, now.UnixNano()) == dnssd.Wait {
 		return 100 * time.Millisecond
 	}
-	entries, faults := map[string]node.ServiceEntry{}, map[string]string{}
+	entries, faults := map[string]node.Endpoint{}, map[string]string{}
 	listed := make(map[string]bool, len(s.Instances))
 	earliest := int64(math.MaxInt64)
 	for _, in := range s.Instances {
@@ -182,7 +182,7 @@
 		}
 		faults[in.Name] = err.Error()
 		if b.faults[in.Name] != faults[in.Name] && !in.Pending {
-			b.Log.Warn("a service entry is left out", zap.String("instance", in.Name), zap.Error(err))
+			b.Log.Warn("an endpoint is left out", zap.String("instance", in.Name), zap.Error(err))
 		}
 	}
 	for name := range b.entries {
@@ -193,11 +193,11 @@
 	}
 	b.note(s, entries, faults)
 	b.entries, b.faults, b.listed, b.serial, b.proved = entries, faults, listed, s.Serial, s.At
-	list := make([]node.ServiceEntry, 0, len(entries))
+	list := make([]node.Endpoint, 0, len(entries))
 	for _, e := range entries {
 		list = append(list, e)
 	}
-	slices.SortFunc(list, func(x, y node.ServiceEntry) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(list, func(x, y node.Endpoint) int { return strings.Compare(x.Name, y.Name) })
 	if b.first || !reflect.DeepEqual(list, b.told) {
 		b.first = false
 		b.told = list
@@ -210,7 +210,7 @@
 }
 
 // note keeps the origins of what was found.
-func (b *Browser) note(s discovery.Sight, entries map[string]node.ServiceEntry, faults map[string]string) {
+func (b *Browser) note(s discovery.Sight, entries map[string]node.Endpoint, faults map[string]string) {
 	changed := map[string]time.Time{}
 	all := make([]Origin, 0, len(s.Instances))
 	for _, in := range s.Instances {
@@ -236,9 +236,9 @@
 	b.origins.Store(&all)
 }
 
-// entry reads an instance as a service entry.
-func (b *Browser) entry(in dnssd.Instance, now time.Time) (node.ServiceEntry, error) {
-	e := node.ServiceEntry{Engine: standpoint.Engine{Name: in.Label + b.Suffix, Size: 1}, Source: b.Key}
+// entry reads an instance as an endpoint.
+func (b *Browser) entry(in dnssd.Instance, now time.Time) (node.Endpoint, error) {
+	e := node.Endpoint{Engine: standpoint.Engine{Name: in.Label + b.Suffix, Size: 1}, Source: b.Key}
 	if in.Fault != nil {
 		return e, in.Fault
 	}
@@ -283,7 +283,7 @@
 }
 
 // attribute takes in one key of a TXT record. Those that mean nothing here become labels.
-func (b *Browser) attribute(e *node.ServiceEntry, key, value string) (err error) {
+func (b *Browser) attribute(e *node.Endpoint, key, value string) (err error) {
 	switch key {
 	case "site":
 		e.Zone = index(b.Names.Zones, value)
--- a/internal/entries/dnssd_test.go
+++ b/internal/entries/dnssd_test.go
@@ -65,7 +65,7 @@
 	s.see(1, instance("box-1", "site=b", "class=slow", "share=2.5", "born_ms=7", "SITE=c"), instance("box-2", "health=draining", "mode=batch", "new=1"),
 		instance("odd", "share=much"), lost, instance("box-3"), instance("late", "born_ms=9223372036854775807"))
 	at := "127.0.0.1:8001"
-	require.Equal(t, []node.ServiceEntry{
+	require.Equal(t, []node.Endpoint{
 		{Address: at, Source: "hall", Engine: standpoint.Engine{Name: "box-1", Zone: 1, Kind: 1, Size: 2.5, ReadyAt: 7e6}},
 		{Address: at, Source: "hall", Batch: true, Labels: map[string]string{"new": "1"}, Engine: standpoint.Engine{Name: "box-2", Size: 1, State: standpoint.Draining}},
 		{Address: at, Source: "hall", Engine: standpoint.Engine{Name: "box-3", Size: 1}},
@@ -242,7 +242,7 @@
 	c.Set(responder.Faults{Silent: true})
 	news := make(chan node.List, 100)
 	all := NewBrowsers(func(l node.List) { news <- l }, browse(a.Address, "a.test", "a"), browse(b.Address, "b.test", "b"), browse(c.Address, "c.test", "a"))
-	all.Known(node.List{Entries: []node.ServiceEntry{{Source: "_engine._tcp.c.test", Engine: standpoint.Engine{Name: "box-9@c.test", Stale: true}}}})
+	all.Known(node.List{Entries: []node.Endpoint{{Source: "_engine._tcp.c.test", Engine: standpoint.Engine{Name: "box-9@c.test", Stale: true}}}})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { all.Run(ctx); close(ended) }()
@@ -278,7 +278,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go k.Run(ctx)
-	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{{Engine: standpoint.Engine{Name: "new"}},
+	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.Endpoint{{Engine: standpoint.Engine{Name: "new"}},
 		{Engine: standpoint.Engine{Name: "old"}}, {Engine: standpoint.Engine{Name: "unsaid", Stale: true}}, {Engine: standpoint.Engine{Name: "file"}}}})
 	stale := map[string]bool{}
 	require.Eventually(t, func() bool {
@@ -338,7 +338,7 @@
 	keys.left.Store(1)
 	k := NewKeeper(keys, zap.NewNop())
 	go k.Run(t.Context())
-	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{{Engine: standpoint.Engine{Name: "a"}}}})
+	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.Endpoint{{Engine: standpoint.Engine{Name: "a"}}}})
 	require.Eventually(t, func() bool { return keys.Get(lastKey).Version != 0 }, 10*time.Second, time.Millisecond)
 }
 
@@ -348,14 +348,14 @@
 	k := NewKeeper(keys, zap.NewNop())
 	k.Names = Names{Zones: []string{"a", "b"}, Kinds: []string{"fast", "slow"}}
 	go k.Run(t.Context())
-	e := node.ServiceEntry{Address: "127.0.0.1:1", Batch: true, Labels: map[string]string{"v": "1"}, Source: "hall",
+	e := node.Endpoint{Address: "127.0.0.1:1", Batch: true, Labels: map[string]string{"v": "1"}, Source: "hall",
 		Engine: standpoint.Engine{Name: "s", Zone: 1, Kind: 0, Cell: 3, State: standpoint.Draining, Size: 2, ReadyAt: 5e6}}
-	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{e}})
+	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.Endpoint{e}})
 	require.Eventually(t, func() bool { return keys.Get(lastKey).Version != 0 }, 10*time.Second, time.Millisecond)
 	next := NewKeeper(keys, zap.NewNop())
 	next.Names = Names{Zones: []string{"b", "a"}, Kinds: []string{"slow", "fast"}}
 	l, ok := next.Known(time.Now())
 	require.True(t, ok)
 	e.Zone, e.Kind = 0, 1
-	require.Equal(t, []node.ServiceEntry{e}, l.Entries)
+	require.Equal(t, []node.Endpoint{e}, l.Entries)
 }
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -1,4 +1,4 @@
-// Package entries is the actor of the service entries: it watches the platform's discovery and tells the
+// Package entries is the actor of the endpoints: it watches the platform's discovery and tells the
 // core of every change.
 package entries
 
@@ -65,14 +65,14 @@
 func Decode(raw []byte, names Names) (seq int64, l node.List, faults []error, err error) {
 	var w catalog
 	if err := json.Unmarshal(raw, &w); err != nil {
-		return 0, node.List{}, nil, fmt.Errorf("list of service entries: %w", err)
+		return 0, node.List{}, nil, fmt.Errorf("list of endpoints: %w", err)
 	}
 	l = node.List{Kind: standpoint.ListDelta}
 	if w.Whole {
 		l.Kind = standpoint.ListFull
 	}
 	for _, h := range w.Hosts {
-		e := node.ServiceEntry{Address: h.Dial, Engine: standpoint.Engine{Name: h.Host, Cell: h.Block,
+		e := node.Endpoint{Address: h.Dial, Engine: standpoint.Engine{Name: h.Host, Cell: h.Block,
 			Zone: index(names.Zones, h.Site), Kind: index(names.Kinds, h.Class), Size: h.Share,
 			ReadyAt: h.BornMS * int64(time.Millisecond)}}
 		if e.State, err = state(h.Health); err == nil && e.State != standpoint.Gone {
@@ -86,11 +86,11 @@
 			}
 		}
 		if h.Host == "" {
-			faults = append(faults, errors.New("a service entry without a name"))
+			faults = append(faults, errors.New("an endpoint without a name"))
 			continue
 		}
 		if err != nil {
-			faults = append(faults, fmt.Errorf("service entry %q: %w", h.Host, err))
+			faults = append(faults, fmt.Errorf("endpoint %q: %w", h.Host, err))
 			e.State, e.ReadyAt, e.Size = standpoint.Draining, 0, 0
 		}
 		l.Entries = append(l.Entries, e)
@@ -318,7 +318,7 @@
 	}
 	seq, l, faults, err := Decode(raw, at.names)
 	if len(faults) > 0 {
-		w.log.Warn("service entries that cannot be used", zap.Errors("faults", faults))
+		w.log.Warn("endpoints that cannot be used", zap.Errors("faults", faults))
 	}
 	switch {
 	case err == nil && whole && l.Kind != standpoint.ListFull:
--- a/internal/entries/keeper.go
+++ b/internal/entries/keeper.go
@@ -24,7 +24,7 @@
 	keepAgain = time.Second      // after a write that the store did not take
 )
 
-// kept is a service entry as the store has it, in the words of the platform's list: what indexes stand for may be in
+// kept is an endpoint as the store has it, in the words of the platform's list: what indexes stand for may be in
 // another order in the file by which the next start reads it.
 type kept struct {
 	Host   string            `json:"host"`
@@ -41,7 +41,7 @@
 	Until  time.Time         `json:"until,omitzero"` // the end of its records' time; absent where the source tells none
 }
 
-func (k *Keeper) write(e node.ServiceEntry, until time.Time) kept {
+func (k *Keeper) write(e node.Endpoint, until time.Time) kept {
 	one := kept{Host: e.Name, Dial: e.Address, Site: word(k.Names.Zones, e.Zone), Class: word(k.Names.Kinds, e.Kind), Block: e.Cell,
 		Health: word(healths, int(e.State)), Share: e.Size, BornMS: e.ReadyAt / int64(time.Millisecond), Labels: e.Labels, Source: e.Source, Until: until}
 	if e.Batch {
@@ -53,8 +53,8 @@
 	return one
 }
 
-func (k *Keeper) read(one kept, now time.Time) (node.ServiceEntry, error) {
-	e := node.ServiceEntry{Address: one.Dial, Batch: one.Mode == "batch", Labels: one.Labels, Source: one.Source,
+func (k *Keeper) read(one kept, now time.Time) (node.Endpoint, error) {
+	e := node.Endpoint{Address: one.Dial, Batch: one.Mode == "batch", Labels: one.Labels, Source: one.Source,
 		Engine: standpoint.Engine{Name: one.Host, Zone: index(k.Names.Zones, one.Site), Kind: index(k.Names.Kinds, one.Class), Cell: one.Block,
 			Size: one.Share, ReadyAt: one.BornMS * int64(time.Millisecond), Stale: !one.Until.IsZero() && now.After(one.Until)}}
 	var err error
@@ -71,7 +71,7 @@
 	return words[i]
 }
 
-// Keeper keeps the last service entries in the store, with their ages, so that a node that starts anew has some.
+// Keeper keeps the last endpoints in the store, with their ages, so that a node that starts anew has some.
 type Keeper struct {
 	Names Names
 	// Ages says when the entries' records come to the end of their time, by name; nil: nobody knows.
@@ -82,13 +82,13 @@
 	lay   func(node.List) node.List // what is handed on of what is told; nil: that itself
 	order sync.Mutex                // held while a change is noted and handed on, so that both happen in one order
 	mu    sync.Mutex
-	all   map[string]node.ServiceEntry
+	all   map[string]node.Endpoint
 	dirty chan struct{}
 }
 
 // NewKeeper makes the actor; Run writes.
 func NewKeeper(s store.Store, log *zap.Logger) *Keeper {
-	return &Keeper{store: s, log: log, all: map[string]node.ServiceEntry{}, dirty: make(chan struct{}, 1)}
+	return &Keeper{store: s, log: log, all: map[string]node.Endpoint{}, dirty: make(chan struct{}, 1)}
 }
 
 // Known is the list as the store has it. Entries past their time are marked stale: they are tried last.
@@ -101,13 +101,13 @@
 	}
 	err := json.Unmarshal(v.Data, &all)
 	for i := 0; i < len(all) && err == nil; i++ {
-		var e node.ServiceEntry
+		var e node.Endpoint
 		e, err = k.read(all[i], now)
 		l.Entries = append(l.Entries, e)
 	}
 	if err != nil {
 		l.Entries = nil
-		k.log.Error("the last list of service entries cannot be read; none of it is used", zap.String("key", lastKey), zap.Error(err))
+		k.log.Error("the last list of endpoints cannot be read; none of it is used", zap.String("key", lastKey), zap.Error(err))
 		return l, false
 	}
 	return l, true
@@ -131,7 +131,7 @@
 
 // amend hands on once more those that are listed of the names that the test lets through. The order is held.
 func (k *Keeper) amend(test func(string) bool, to func(node.List)) {
-	all := slices.DeleteFunc(k.sorted(), func(e node.ServiceEntry) bool { return !test(e.Name) })
+	all := slices.DeleteFunc(k.sorted(), func(e node.Endpoint) bool { return !test(e.Name) })
 	if len(all) > 0 {
 		to(k.laid(node.List{Kind: standpoint.ListDelta, Entries: all}))
 	}
@@ -145,12 +145,12 @@
 }
 
 // Current is the list as last told, by name.
-func (k *Keeper) Current() []node.ServiceEntry { return k.sorted() }
+func (k *Keeper) Current() []node.Endpoint { return k.sorted() }
 
-func (k *Keeper) sorted() []node.ServiceEntry {
+func (k *Keeper) sorted() []node.Endpoint {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.SortedFunc(maps.Values(k.all), func(a, b node.ServiceEntry) int { return strings.Compare(a.Name, b.Name) })
+	return slices.SortedFunc(maps.Values(k.all), func(a, b node.Endpoint) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // Take notes a change. It never waits for the store: the watch must go on at once.
@@ -201,7 +201,7 @@
 			_, err = k.store.Write(ctx, store.Op{Key: lastKey, Data: raw, If: store.Any})
 		}
 		if due = err != nil; due {
-			k.log.Warn("the service entries were not kept; once more soon", zap.Error(err))
+			k.log.Warn("the endpoints were not kept; once more soon", zap.Error(err))
 		}
 	}
 }
--- a/internal/entries/story_test.go
+++ b/internal/entries/story_test.go
@@ -47,7 +47,7 @@
 	go w.Run(ctx)
 	w.Watch()
 	first := <-news
-	require.Equal(t, node.List{Kind: standpoint.ListDelta, Entries: []node.ServiceEntry{{Address: "127.0.0.1:1",
+	require.Equal(t, node.List{Kind: standpoint.ListDelta, Entries: []node.Endpoint{{Address: "127.0.0.1:1",
 		Engine: standpoint.Engine{Name: "s", Zone: 1, Kind: 1, Cell: 3, State: standpoint.Draining, Size: 2, ReadyAt: 5e6}}}}, first)
 	require.Less(t, (<-calls).Sub(<-calls).Abs(), 200*time.Millisecond)
 	failed := time.Now()
@@ -63,10 +63,10 @@
 
 func TestDecodeNamesTheFault(t *testing.T) {
 	for entry, says := range map[string]string{
-		`{"host":"s-1","dial":"a","health":"ill"}`:                                 `service entry "s-1": unknown health "ill"`,
-		`{"host":"s-1","dial":"a","health":"ready","born_ms":9223372036854775807}`: `service entry "s-1": born_ms`,
-		`{"host":"s-1","dial":"a","health":"ready","share":-1}`:                    `service entry "s-1": share`,
-		`{"host":"s-1","health":"ready"}`:                                          `service entry "s-1": dial`,
+		`{"host":"s-1","dial":"a","health":"ill"}`:                                 `endpoint "s-1": unknown health "ill"`,
+		`{"host":"s-1","dial":"a","health":"ready","born_ms":9223372036854775807}`: `endpoint "s-1": born_ms`,
+		`{"host":"s-1","dial":"a","health":"ready","share":-1}`:                    `endpoint "s-1": share`,
+		`{"host":"s-1","health":"ready"}`:                                          `endpoint "s-1": dial`,
 	} {
 		_, l, faults, err := Decode([]byte(`{"seq":1,"hosts":[`+entry+`,{"host":"s-2","dial":"b","health":"draining"}]}`), names)
 		require.NoError(t, err)
@@ -82,11 +82,11 @@
 	keys := store.NewMemory()
 	k := NewKeeper(keys, zap.NewNop())
 	go k.Run(t.Context())
-	entry := func(name string, state standpoint.State) node.ServiceEntry {
-		return node.ServiceEntry{Engine: standpoint.Engine{Name: name, State: state}}
+	entry := func(name string, state standpoint.State) node.Endpoint {
+		return node.Endpoint{Engine: standpoint.Engine{Name: name, State: state}}
 	}
-	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.ServiceEntry{entry("a", standpoint.Ready), entry("b", standpoint.Ready)}})
-	k.Take(node.List{Kind: standpoint.ListDelta, Entries: []node.ServiceEntry{entry("a", standpoint.Gone)}})
+	k.Take(node.List{Kind: standpoint.ListFull, Entries: []node.Endpoint{entry("a", standpoint.Ready), entry("b", standpoint.Ready)}})
+	k.Take(node.List{Kind: standpoint.ListDelta, Entries: []node.Endpoint{entry("a", standpoint.Gone)}})
 	require.Eventually(t, func() bool {
 		l, ok := NewKeeper(keys, zap.NewNop()).Known(time.Now())
 		return ok && len(l.Entries) == 1 && l.Entries[0].Name == "b"
--- a/internal/find/discovery/finder.go
+++ b/internal/find/discovery/finder.go
@@ -85,13 +85,13 @@
 	if err == nil {
 		f.heard, f.way = time.Now(), way
 		if f.failing {
-			f.Log.Info("look-ups of service entries are answered again")
+			f.Log.Info("look-ups of endpoints are answered again")
 		}
 		f.failing = false
 		return
 	}
 	if !f.failing {
-		f.Log.Warn("look-up of service entries failed; the last list holds", zap.Error(err))
+		f.Log.Warn("look-up of endpoints failed; the last list holds", zap.Error(err))
 	}
 	f.failing = true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -121,7 +121,7 @@
 	f := inside(t, 1, 0, true)
 	list := node.List{Kind: standpoint.ListFull}
 	for _, name := range []string{"p", "q", "r", "s"} {
-		list.Entries = append(list.Entries, node.ServiceEntry{Engine: standpoint.Engine{Name: name, ReadyAt: 7}})
+		list.Entries = append(list.Entries, node.Endpoint{Engine: standpoint.Engine{Name: name, ReadyAt: 7}})
 	}
 	f.Listed(list)
 	for seat := 1; seat < 3; seat++ {
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -31,9 +31,9 @@
 	return all
 }
 
-// news tells the node of service entries, as the core would.
+// news tells the node of endpoints, as the core would.
 func (g *gateway) news(l node.List) {
-	entries := make([]node.ServiceEntry, len(l.Entries))
+	entries := make([]node.Endpoint, len(l.Entries))
 	copy(entries, l.Entries)
 	l.Entries = entries
 	list := &standpoint.EngineList{Kind: l.Kind}
--- a/internal/lab/moves.go
+++ b/internal/lab/moves.go
@@ -295,7 +295,7 @@
 func (w *World) relist() {
 	l := node.List{Kind: standpoint.ListFull}
 	for _, m := range w.boxes {
-		l.Entries = append(l.Entries, node.ServiceEntry{Address: m.name, Labels: map[string]string{"version": []string{"", "v1", "v2"}[m.pool]},
+		l.Entries = append(l.Entries, node.Endpoint{Address: m.name, Labels: map[string]string{"version": []string{"", "v1", "v2"}[m.pool]},
 			Engine: standpoint.Engine{Name: m.name, Kind: m.kind, Size: 1, ReadyAt: m.readyAt, State: m.state}})
 	}
 	for _, g := range w.nodes {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -279,7 +279,7 @@
 		}
 		w.boxes = append(w.boxes, m)
 		w.byName[m.name] = m
-		list.Entries = append(list.Entries, node.ServiceEntry{Address: m.name, Labels: map[string]string{"version": label},
+		list.Entries = append(list.Entries, node.Endpoint{Address: m.name, Labels: map[string]string{"version": label},
 			Engine: standpoint.Engine{Name: m.name, Kind: kind, Size: 1, ReadyAt: m.readyAt}})
 	}
 	for i := range s.Nodes {
--- a/internal/moves/story_test.go
+++ b/internal/moves/story_test.go
@@ -52,12 +52,12 @@
 	return cfg
 }
 
-func entry(name, version string) node.ServiceEntry {
-	return node.ServiceEntry{Address: "127.0.0.1:1", Labels: map[string]string{"version": version}, Engine: standpoint.Engine{Name: name, Size: 1}}
+func entry(name, version string) node.Endpoint {
+	return node.Endpoint{Address: "127.0.0.1:1", Labels: map[string]string{"version": version}, Engine: standpoint.Engine{Name: name, Size: 1}}
 }
 
 // tell tells a tracker of a whole list, as the core would.
-func tell(tr *Tracker, entries ...node.ServiceEntry) {
+func tell(tr *Tracker, entries ...node.Endpoint) {
 	for i := range entries {
 		entries[i].Pool = tr.Place(&entries[i])
 	}
--- a/internal/moves/tracker.go
+++ b/internal/moves/tracker.go
@@ -32,7 +32,7 @@
 	names    config.Names
 	classes  []standpoint.Class
 	plan     mover.Plan
-	boxes    map[string]*boxState // by name; as many as service entries
+	boxes    map[string]*boxState // by name; as many as endpoints
 	followed mover.Record         // whose pools are counted; State "" for none
 	from, to int
 	sides    [2]mover.Side
@@ -87,7 +87,7 @@
 }
 
 // Place implements node.Pools.
-func (t *Tracker) Place(e *node.ServiceEntry) int {
+func (t *Tracker) Place(e *node.Endpoint) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.boxes[e.Name]
@@ -155,10 +155,10 @@
 	}
 	t.told = said
 	if len(none) > 0 {
-		t.log.Warn("service entries in no pool get only what no pool can take", zap.Strings("entries", none))
+		t.log.Warn("endpoints in no pool get only what no pool can take", zap.Strings("entries", none))
 	}
 	if len(several) > 0 {
-		t.log.Warn("service entries in several pools count for the first", zap.Strings("entries", several))
+		t.log.Warn("endpoints in several pools count for the first", zap.Strings("entries", several))
 	}
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -1,5 +1,5 @@
 // Package node is the core: flows, attempts, outcomes and deadlines round the decision module. It knows no
-// wire. Fronts bring flows, real servers' actors carry attempts, the actor of the service entries brings
+// wire. Fronts bring flows, real servers' actors carry attempts, the actor of the endpoints brings
 // the list; the module's actor is here, and it alone touches the module.
 package node
 
@@ -16,8 +16,8 @@
 	"standpoint/internal/figures"
 )
 
-// ServiceEntry is one line of discovery's list: the module's engine and where this node reaches it.
-type ServiceEntry struct {
+// Endpoint is one line of discovery's list: the module's engine and where this node reaches it.
+type Endpoint struct {
 	standpoint.Engine
 	Address string
 	Batch   bool              // takes files of requests, not streams
@@ -25,10 +25,10 @@
 	Source  string            // which source of several told it; "" where there is one
 }
 
-// List is news of the service entries.
+// List is news of the endpoints.
 type List struct {
 	Kind    standpoint.ListKind
-	Entries []ServiceEntry
+	Entries []Endpoint
 }
 
 // RealServers carries attempts. Neither call may block on a peer.
@@ -37,14 +37,14 @@
 	Send(*Attempt) bool // false: not taken, nothing was sent
 }
 
-// Entries is the actor of the service entries. Watch must not block.
+// Entries is the actor of the endpoints. Watch must not block.
 type Entries interface{ Watch() }
 
 // Pools say where flows belong, and hear what came of them. The core calls them from the module's actor alone; no
 // call may wait.
 type Pools interface {
 	// Place says which pool an entry is in, from its labels: 0 for none.
-	Place(e *ServiceEntry) int
+	Place(e *Endpoint) int
 	// Listed tells of the entries as the module has them now.
 	Listed(l List)
 	// Assign says to which pool a flow belongs: 0 for any.
@@ -185,7 +185,7 @@
 	return c
 }
 
-// clock is Unix time in nanoseconds that never goes backwards, as service entries' starts are told in it.
+// clock is Unix time in nanoseconds that never goes backwards, as endpoints' starts are told in it.
 func (c *Core) clock() int64 { return c.start.UnixNano() + int64(time.Since(c.start)) }
 
 // Expires turns a span that began at from into the module's time.
@@ -203,7 +203,7 @@
 	}
 }
 
-// News hands a change of the service entries to the module.
+// News hands a change of the endpoints to the module.
 func (c *Core) News(l List) { c.post(l) }
 
 // Adjust takes on new settings. Flows that are open keep the deadlines that they came with.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -33,7 +33,7 @@
 		Classes: []standpoint.Class{{Streamed: true, TTFTAim: 1e9, Deadline: 10e9, Worth: 1}}}
 	h := held{make(chan *Attempt, 20_000)}
 	c := New(Options{Settings: s, Seed: 1, MaxFlows: most, Servers: h, Entries: quiet{}, Log: zap.NewNop()})
-	c.News(List{Kind: standpoint.ListFull, Entries: []ServiceEntry{{Address: "127.0.0.1:1", Engine: standpoint.Engine{Name: "s", Size: 1}}}})
+	c.News(List{Kind: standpoint.ListFull, Entries: []Endpoint{{Address: "127.0.0.1:1", Engine: standpoint.Engine{Name: "s", Size: 1}}}})
 	go c.Run(ctx)
 	return c, h
 }
--- a/internal/pool/selector.go
+++ b/internal/pool/selector.go
@@ -18,7 +18,7 @@
 	depthMost = 32 // of parentheses and negations
 )
 
-// Box is what a service entry tells of a real server.
+// Box is what an endpoint tells of a real server.
 type Box struct {
 	Name, Address, Site, Kind, Mode string
 	Cell                            int
--- a/internal/realserver/moments_test.go
+++ b/internal/realserver/moments_test.go
@@ -62,25 +62,25 @@
 // and the request goes elsewhere; that the server was chosen in good time is no reason to send later.
 func TestToldToLeaveWhileAConnectionComesUp(t *testing.T) {
 	t.Parallel()
-	for name, tell := range map[string]func(n *testpeer.Node, chosen, other node.ServiceEntry){
-		"drains": func(n *testpeer.Node, chosen, other node.ServiceEntry) {
+	for name, tell := range map[string]func(n *testpeer.Node, chosen, other node.Endpoint){
+		"drains": func(n *testpeer.Node, chosen, other node.Endpoint) {
 			chosen.State = standpoint.Draining
 			n.Tell(chosen, other)
 		},
-		"drains, by a change": func(n *testpeer.Node, chosen, _ node.ServiceEntry) {
+		"drains, by a change": func(n *testpeer.Node, chosen, _ node.Endpoint) {
 			chosen.State = standpoint.Draining
-			n.Core.News(node.List{Kind: standpoint.ListDelta, Entries: []node.ServiceEntry{chosen}})
+			n.Core.News(node.List{Kind: standpoint.ListDelta, Entries: []node.Endpoint{chosen}})
 		},
-		"is gone": func(n *testpeer.Node, _, other node.ServiceEntry) { n.Tell(other) },
-		"is gone, by a change": func(n *testpeer.Node, chosen, _ node.ServiceEntry) {
+		"is gone": func(n *testpeer.Node, _, other node.Endpoint) { n.Tell(other) },
+		"is gone, by a change": func(n *testpeer.Node, chosen, _ node.Endpoint) {
 			chosen.State, chosen.Address = standpoint.Gone, ""
-			n.Core.News(node.List{Kind: standpoint.ListDelta, Entries: []node.ServiceEntry{chosen}})
+			n.Core.News(node.List{Kind: standpoint.ListDelta, Entries: []node.Endpoint{chosen}})
 		},
-		"is another process by now": func(n *testpeer.Node, chosen, other node.ServiceEntry) {
+		"is another process by now": func(n *testpeer.Node, chosen, other node.Endpoint) {
 			chosen.ReadyAt = time.Now().Add(-time.Hour).UnixNano()
 			n.Tell(chosen, other)
 		},
-		"drains and comes back": func(n *testpeer.Node, chosen, other node.ServiceEntry) {
+		"drains and comes back": func(n *testpeer.Node, chosen, other node.Endpoint) {
 			chosen.State = standpoint.Draining
 			n.Tell(chosen, other)
 			chosen.State = standpoint.Ready
@@ -283,7 +283,7 @@
 func TestRestingLinksMakeRoom(t *testing.T) {
 	t.Parallel()
 	const most, atOnce = 12, 6
-	var entries []node.ServiceEntry
+	var entries []node.Endpoint
 	for i := range 40 {
 		entries = append(entries, testpeer.Entry(fmt.Sprint("s", i), newMet().server(t, testpeer.Answer("whole"))))
 	}
@@ -463,7 +463,7 @@
 	t.Run("a repeat", func(t *testing.T) {
 		t.Parallel()
 		met, held := newMet(), testpeer.HoldDials(2)
-		var all []node.ServiceEntry
+		var all []node.Endpoint
 		for _, name := range []string{"a", "b", "c"} {
 			all = append(all, testpeer.Entry(name, met.server(t, failed500, testpeer.Answer("whole"))))
 		}
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -89,7 +89,7 @@
 // Links is how many connections to servers are open, or being opened.
 func (f *Fleet) Links() int { return int(f.links.Load()) }
 
-// Update takes in news of the service entries: new servers get an actor, moved ones hear of it, those gone
+// Update takes in news of the endpoints: new servers get an actor, moved ones hear of it, those gone
 // are let go of; attempts that are out at them run on.
 func (f *Fleet) Update(l node.List) {
 	if l.Kind == standpoint.ListLost {
@@ -138,7 +138,7 @@
 	}
 }
 
-func (f *Fleet) start(e node.ServiceEntry) actor {
+func (f *Fleet) start(e node.Endpoint) actor {
 	a := actor{name: e.Name, batch: e.Batch, mail: make(chan any, mailboxSize), log: f.Log, at: moved{e.Address, e.ReadyAt}, gate: new(atomic.Bool)}
 	a.gate.Store(e.State != standpoint.Ready)
 	if e.Batch {
--- a/internal/realserver/story_test.go
+++ b/internal/realserver/story_test.go
@@ -235,7 +235,7 @@
 	n := testpeer.Start(t, settings, streams)
 	replaced := testpeer.Entry("s", files.Address)
 	replaced.Batch = true
-	for _, e := range []node.ServiceEntry{streams, replaced, streams} {
+	for _, e := range []node.Endpoint{streams, replaced, streams} {
 		n.Tell(e)
 		status, _, body, err := n.Do(n.Chat(t.Context(), nil))
 		require.NoError(t, err)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,4 +1,4 @@
-// Package store keeps the node's small versioned keys: configuration, the last service entries and the
+// Package store keeps the node's small versioned keys: configuration, the last endpoints and the
 // state of batches. Memory is one member with no disk; Raft replicates the same keys over loopback TCP.
 package store
 
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -63,12 +63,12 @@
 func (noEntries) Watch() {}
 
 // Start wires a node to the given real servers.
-func Start(t testing.TB, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
+func Start(t testing.TB, settings standpoint.Settings, entries ...node.Endpoint) *Node {
 	return StartLogged(t, zap.NewNop(), settings, entries...)
 }
 
 // StartLogged is Start with a log to look into.
-func StartLogged(t testing.TB, log *zap.Logger, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
+func StartLogged(t testing.TB, log *zap.Logger, settings standpoint.Settings, entries ...node.Endpoint) *Node {
 	return StartDialing(t, log, settings, nil, entries...)
 }
 
@@ -76,7 +76,7 @@
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // StartHeld is Start with the clients' connections as accepted makes them.
-func StartHeld(t testing.TB, accepted func(net.Conn) net.Conn, dial Dial, settings standpoint.Settings, entries ...node.ServiceEntry) *Node {
+func StartHeld(t testing.TB, accepted func(net.Conn) net.Conn, dial Dial, settings standpoint.Settings, entries ...node.Endpoint) *Node {
 	return start(t, zap.NewNop(), settings, accepted, dial, entries...)
 }
 
@@ -131,11 +131,11 @@
 }
 
 // StartDialing is StartLogged with connections to real servers as dial opens them; nil: as always.
-func StartDialing(t testing.TB, log *zap.Logger, settings standpoint.Settings, dial Dial, entries ...node.ServiceEntry) *Node {
+func StartDialing(t testing.TB, log *zap.Logger, settings standpoint.Settings, dial Dial, entries ...node.Endpoint) *Node {
 	return start(t, log, settings, func(c net.Conn) net.Conn { return c }, dial, entries...)
 }
 
-func start(t testing.TB, log *zap.Logger, settings standpoint.Settings, accepted func(net.Conn) net.Conn, dial Dial, entries ...node.ServiceEntry) *Node {
+func start(t testing.TB, log *zap.Logger, settings standpoint.Settings, accepted func(net.Conn) net.Conn, dial Dial, entries ...node.Endpoint) *Node {
 	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Dial: dial, Log: log,
 		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
@@ -173,7 +173,7 @@
 }
 
 // Tell gives the node a whole list.
-func (n *Node) Tell(entries ...node.ServiceEntry) {
+func (n *Node) Tell(entries ...node.Endpoint) {
 	n.Core.News(node.List{Kind: standpoint.ListFull, Entries: entries})
 }
 
@@ -209,9 +209,9 @@
 	return c, nil
 }
 
-// Entry is a ready service entry.
-func Entry(name, address string) node.ServiceEntry {
-	return node.ServiceEntry{Address: address, Engine: standpoint.Engine{Name: name, Size: 1}}
+// Entry is a ready endpoint.
+func Entry(name, address string) node.Endpoint {
+	return node.Endpoint{Address: address, Engine: standpoint.Engine{Name: name, Size: 1}}
 }
 
 // Server starts a scripted real server and returns its address.
