--- /dev/null
+++ b/internal/cli/drain_test.go
@@ -0,0 +1,290 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"standpoint/internal/testpeer"
+	"standpoint/internal/testpeer/drain"
+)
+
+const (
+	drainGrace   = 500 * time.Millisecond
+	socketsSlack = 50 * time.Millisecond // every time limit on sockets is so much longer
+)
+
+// drainFleet is a fleet of real processes before stand-in discoveries and servers.
+type drainFleet struct {
+	t             *testing.T
+	program       string
+	mode          string // how discovery tells
+	rng           *rand.Rand
+	record        *drain.Record
+	hosts         []drain.Host
+	first, second *drain.Discovery
+	nodes         []*drainNode
+	clients       sync.WaitGroup
+	stop          chan struct{}
+}
+
+// drainNode is one node, which may be several processes one after the other.
+type drainNode struct {
+	name, listen, file, dir string
+	first, second           string // its addresses of the discoveries
+	process                 *exec.Cmd
+	said                    *log
+}
+
+// newDrainFleet puts a fleet together: nothing runs yet.
+func newDrainFleet(t *testing.T, program, mode string, seed uint64, nodes, servers int) *drainFleet {
+	f := &drainFleet{t: t, program: program, mode: mode, rng: rand.New(rand.NewPCG(seed, 34)), stop: make(chan struct{})}
+	f.record = drain.NewRecord(f.stop)
+	for i := range servers {
+		name := fmt.Sprint("s", i)
+		f.hosts = append(f.hosts, drain.Host{Host: name, Dial: drain.StartBackend(t, name, f.record), Site: "a", Class: "m", Health: "ready", Share: 1})
+	}
+	f.first = drain.NewDiscovery(t, f.record, 41, f.hosts)
+	f.second = drain.NewDiscovery(t, f.record, 7, f.hosts) // versions of its own, lower ones
+	for i := range nodes {
+		n := &drainNode{name: fmt.Sprint("n", i), listen: testpeer.FreeAddress(t), dir: t.TempDir(), said: &log{}}
+		n.file = filepath.Join(n.dir, "config.json")
+		n.first, n.second = f.first.Listen(n.name), f.second.Listen(n.name)
+		f.nodes = append(f.nodes, n)
+	}
+	return f
+}
+
+// configure writes a node's configuration; what it last knew is the first list.
+func (f *drainFleet) configure(n *drainNode, discovery string) {
+	known, err := json.Marshal(map[string]any{"seq": 41, "whole": true, "hosts": f.hosts})
+	require.NoError(f.t, err)
+	config := platformConfig(n.listen, discovery, map[string]any{"known": json.RawMessage(known)})
+	config["settings"].(map[string]any)["balancers"] = len(f.nodes)
+	config["settings"].(map[string]any)["discovery"] = f.mode
+	raw, err := json.Marshal(config)
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.WriteFile(n.file+".new", raw, 0o600))
+	require.NoError(f.t, os.Rename(n.file+".new", n.file))
+}
+
+// start starts a process of a node.
+func (f *drainFleet) start(n *drainNode) {
+	n.process = exec.Command("/bin/sh", "-c", "trap '' HUP; exec "+f.program)
+	n.process.Env = append(os.Environ(), "PROXY_CONFIG="+n.file, "TMPDIR="+n.dir)
+	n.process.Stderr = n.said
+	f.record.Started(n.name, time.Now())
+	require.NoError(f.t, n.process.Start())
+}
+
+// kill ends a node's process at once.
+func (f *drainFleet) kill(n *drainNode) {
+	_ = n.process.Process.Kill()
+	_ = n.process.Wait()
+}
+
+// run starts all nodes, and a client before each that sends one request after another until the test ends.
+func (f *drainFleet) run() {
+	for _, n := range f.nodes {
+		f.configure(n, n.first)
+		f.first.Asked(n.name, time.Now())
+		f.start(n)
+	}
+	f.t.Cleanup(func() {
+		for _, n := range f.nodes {
+			f.kill(n)
+		}
+	})
+	for _, n := range f.nodes {
+		f.clients.Go(func() { f.client(n) })
+	}
+}
+
+func (f *drainFleet) client(n *drainNode) {
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for number := 0; ; number++ {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(25 * time.Millisecond):
+		}
+		response, err := client.Do(testpeer.Ask(f.t, n.listen, drain.Trace(n.name, number), "1500m"))
+		if err != nil {
+			continue // it has not started, or was killed
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+}
+
+// reload has all nodes move to the second discovery, one after the other.
+func (f *drainFleet) reload(over time.Duration) {
+	for _, i := range f.rng.Perm(len(f.nodes)) {
+		n := f.nodes[i]
+		f.configure(n, n.second)
+		f.first.Left(n.name, time.Now())
+		f.second.Asked(n.name, time.Now())
+		_ = n.process.Process.Signal(syscall.SIGHUP)
+		time.Sleep(over / time.Duration(len(f.nodes)))
+	}
+}
+
+// pause stops a node's process, as one whose processor others take.
+func (f *drainFleet) pause(n *drainNode, span time.Duration) {
+	_ = n.process.Process.Signal(syscall.SIGSTOP)
+	time.AfterFunc(span, func() { _ = n.process.Process.Signal(syscall.SIGCONT) })
+}
+
+// end stops the clients and gives the violations.
+func (f *drainFleet) end() []drain.Violation {
+	close(f.stop)
+	f.clients.Wait()
+	found := f.record.Violations(append(f.first.Due(), f.second.Due()...), drainGrace+socketsSlack)
+	f.t.Logf("%d sends judged, %d violations, %v late at most; calls %v and %v", len(f.record.Sends()), len(found), f.record.MostLag(),
+		f.first.Counts(), f.second.Counts())
+	return found
+}
+
+// Faults of a few dozen real processes' discovery, one behind the other, and a server that leaves in each: watches that fall silent, come
+// in pieces, whole or late; discovery down, and back with a queue that turns callers away; SIGHUP to another discovery that is behind the
+// first; processes killed and started anew with an old list; processes that get no processor time for a while.
+func TestNothingIsSentToServersThatLeave(t *testing.T) {
+	program := build(t)
+	for _, mode := range []string{"on_request", "pushed"} {
+		for _, seed := range drainSeeds() {
+			t.Run(fmt.Sprintf("%s, seed %d", mode, seed), func(t *testing.T) {
+				f := newDrainFleet(t, program, mode, seed, 24+int(seed%13), 12)
+				f.first.Fault, f.second.Fault = f.faults(), f.faults()
+				f.run()
+				f.play()
+				found := f.end()
+				for i, v := range found {
+					if i == 10 {
+						t.Logf("and %d more", len(found)-i)
+						break
+					}
+					t.Log(v)
+				}
+				if len(found) > 0 {
+					f.tell(found[0])
+				}
+				require.Empty(t, found)
+				require.Greater(t, len(f.record.Sends()), 1000)
+			})
+		}
+	}
+}
+
+// tell logs what the node of a violation said around it.
+func (f *drainFleet) tell(v drain.Violation) {
+	for _, n := range f.nodes {
+		if n.name != v.Send.Node {
+			continue
+		}
+		for line := range strings.Lines(n.said.String()) {
+			if strings.Contains(line, "discover") || strings.Contains(line, "serving") {
+				f.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+	f.t.Logf("told at %s, sent at %s", v.Told.At.UTC().Format(time.RFC3339Nano), v.Send.At.UTC().Format(time.RFC3339Nano))
+}
+
+// drainSeeds are the plays of the test, or what DRAIN_SEEDS says: "first-last".
+func drainSeeds() []uint64 {
+	first, last := uint64(1), uint64(1)
+	_, _ = fmt.Sscanf(os.Getenv("DRAIN_SEEDS"), "%d-%d", &first, &last)
+	var all []uint64
+	for seed := first; seed <= last; seed++ {
+		all = append(all, seed)
+	}
+	return all
+}
+
+// faults draws what becomes of each node's calls.
+func (f *drainFleet) faults() func(node string, call int) drain.Fault {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(f.rng.Uint64(), 0))
+	return func(_ string, call int) drain.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		fault := drain.Fault{Whole: rng.Float64() < 0.2, Indented: rng.Float64() < 0.2}
+		if rng.Float64() < 0.2 {
+			fault.Pieces = time.Duration(20+rng.IntN(80)) * time.Millisecond
+		}
+		if rng.Float64() < 0.1 {
+			fault.Late = time.Duration(rng.IntN(300)) * time.Millisecond
+		}
+		switch draw := rng.Float64(); {
+		case call < 2 && draw < 0.3, draw < 0.02:
+			fault.Silent = true
+		case draw < 0.35 && call < 2, draw < 0.03:
+			fault.Half = true
+		case draw < 0.05:
+			fault.Reset = time.Duration(1+rng.IntN(500)) * time.Millisecond
+		case draw > 0.97:
+			fault.Older = true
+		}
+		return fault
+	}
+}
+
+// play is the day: twelve servers, of which some leave.
+func (f *drainFleet) play() {
+	began := time.Now()
+	until := func(ms int) { time.Sleep(time.Until(began.Add(time.Duration(ms) * time.Millisecond))) }
+	both := func(server, health string) { f.first.Set(server, health); f.second.Set(server, health) }
+	until(1500)
+	both("s0", "draining") // behind watches that have fallen silent
+	until(3000)
+	both("s1", "gone")
+	until(4500)
+	f.first.Down(true)
+	until(5500)
+	both("s2", "draining")
+	until(6000)
+	f.first.Handle(drain.Line{Each: 100 * time.Millisecond, Refused: 10 * time.Millisecond, Most: 15})
+	f.first.Down(false) // and all call at once
+	until(6500)
+	both("s3", "draining")
+	for _, n := range f.nodes {
+		if f.rng.Float64() < 0.3 {
+			f.pause(n, time.Duration(100+f.rng.IntN(300))*time.Millisecond)
+		}
+	}
+	until(11000)
+	go func() {
+		time.Sleep(150 * time.Millisecond)
+		f.first.Set("s4", "draining") // as the nodes move; the second discovery hears of it later
+		time.Sleep(1500 * time.Millisecond)
+		f.second.Set("s4", "draining")
+	}()
+	f.reload(300 * time.Millisecond)
+	until(12000)
+	f.second.Set("s5", "draining")
+	until(13500)
+	for _, n := range f.nodes {
+		if f.rng.Float64() < 0.25 {
+			f.kill(n)
+			f.second.Left(n.name, time.Now())
+			f.second.Asked(n.name, time.Now()) // this process has 6 s of its own, but for what is written to it
+			f.start(n)
+		}
+	}
+	until(14500)
+	f.second.Set("s6", "gone")
+	until(19500)
+}
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -20,8 +20,8 @@
 
 const (
 	companyLook = 100 * time.Millisecond  // between two looks for another process of this node, and for what it was told
-	awaitList   = 1500 * time.Millisecond // for the first list
-	awaitAmong  = 4 * time.Second         // likewise, while another process serves; a new one has 6 s to say that it does
+	awaitList   = 1500 * time.Millisecond // for the first list, of a discovery that gives none
+	awaitMost   = 4 * time.Second         // likewise, while a call stands in its line or another process serves; a new one has 6 s to say that it does
 	recallTime  = 500 * time.Millisecond  // for what the other has learned
 	recallLook  = 10 * time.Millisecond
 	partTime    = 600 * time.Millisecond // after which only those connections are open that have an answer under way, or rest
@@ -228,12 +228,11 @@
 	return l, nil
 }
 
-// await waits, for a bounded time, for the first word of the list's source: where another process serves meanwhile, which
-// knows a newer list than this one was started with, and where this one was started with none, and could serve nobody. While
-// another serves nobody waits for this one, and a drain that only the other was told of would be broken here.
+// await waits, for a bounded time, for the first word of the list's source, before anybody is served: the list that this process was
+// started with is old, and servers may have been told to leave since. While another process of this node serves nobody waits for this
+// one; else a discovery that refuses, or cannot be reached, is waited for no longer than a call may take.
 func (a *assembly) await(stop context.Context) {
-	// A list that is pushed binds from this process's first moment, however old the one that it was started with.
-	if a.heard == nil || a.others == 0 && len(a.platform.Known) > 0 && a.platform.Settings.AskDiscovery {
+	if a.heard == nil {
 		return
 	}
 	began := time.Now()
@@ -248,7 +247,8 @@
 		case <-tick.C:
 		}
 		waited := time.Since(began)
-		if waited >= awaitAmong || waited >= awaitList && (a.share == nil || a.share.Others() == 0) {
+		alone := a.share == nil || a.share.Others() == 0
+		if waited >= awaitMost || waited >= awaitList && alone && a.failing() {
 			return
 		}
 	}
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -77,6 +77,7 @@
 	source     sourceOfEntries
 	news       func(node.List)
 	heard      chan struct{} // closed once the source has told something; nil: it has no source that may be waited for
+	failing    func() bool   // tells that this source refuses, or cannot be reached
 	first      sync.Once
 	adopted    sync.WaitGroup // streams of another process that are carried on
 	keeper     *entries.Keeper
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -101,10 +101,12 @@
 	if !cfg.Settings.AskDiscovery { // what comes back with discovery counts at once, and is to be heard well within the grace
 		watcher.Pushed = max(pushedLeast, time.Duration(cfg.Settings.DrainGrace)/2)
 	}
+	watcher.Knows(known)
+	watcher.Watch()   // at once: whatever else this process does first, its list is old
 	if a.others > 0 { // who serves meanwhile knows a newer one than what this process was started with
 		watcher.Anew()
 	}
-	a.source = watcher
+	a.source, a.failing = watcher, watcher.Failing
 	start := func(context.Context) { a.news(known) } // what this node last held; it may be old, and the first watch puts it right
 	return part{name: "endpoints", start: start, run: together(a.keeper.Run, watcher.Run), reload: func(next deployment) {
 		if was, now := a.now.platform, next.platform; now.Discovery != was.Discovery || !reflect.DeepEqual(now.Names, was.Names) {
