Core: lists go before the mailbox, so that a departure is never behind ordinary work

Read off the code in search of the drains: a list stood in the module's mailbox behind up to 1,024 requests, events and ends, and the gate of its servers was shut only in its turn; due timers were worked off in one go. TestNewsGoesBeforeOrdinaryWork holds the module in one request with 500 behind it: the list is heard next, and was heard last before.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -101,6 +101,9 @@
 // ever hands on without waiting, so it always comes back to empty it.
 const mailboxSize = 1024
 
+// newsMost is how many lists may wait for the module's actor.
+const newsMost = 16
+
 // timersLeast is how many timers there may be before those are looked for that nothing waits for any more.
 const timersLeast = 1024
 
@@ -127,6 +130,7 @@
 type Core struct {
 	Options
 	router  *standpoint.Router
+	news    chan List // goes before the mailbox: a server's departure must not stand behind ordinary work
 	mail    chan any
 	stopped chan struct{}
 	flows   map[int64]*Flow
@@ -179,8 +183,8 @@
 
 // New makes a core; Run starts it.
 func New(o Options) *Core {
-	c := &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), mail: make(chan any, mailboxSize),
-		stopped: make(chan struct{}), flows: map[int64]*Flow{}, start: time.Now()}
+	c := &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), news: make(chan List, newsMost),
+		mail: make(chan any, mailboxSize), stopped: make(chan struct{}), flows: map[int64]*Flow{}, start: time.Now()}
 	c.places = NewShares(o.MaxFlows, len(o.Settings.Tenants))
 	return c
 }
@@ -203,8 +207,13 @@
 	}
 }
 
-// News hands a change of the endpoints to the module.
-func (c *Core) News(l List) { c.post(l) }
+// News hands a change of the endpoints to the module, before whatever else waits for it.
+func (c *Core) News(l List) {
+	select {
+	case c.news <- l:
+	case <-c.stopped:
+	}
+}
 
 // Adjust takes on new settings. Flows that are open keep the deadlines that they came with.
 func (c *Core) Adjust(settings standpoint.Settings, maxFlows int) {
@@ -330,28 +339,12 @@
 	return <-f.done
 }
 
-// Run works the mailbox and the timers until ctx ends.
+// Run works the news, the mailbox and the timers until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.stopped)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
-	for {
-		wait := time.Hour
-		if len(c.timers) > 0 {
-			wait = time.Duration(c.timers[0].at - c.clock())
-		}
-		alarm.Reset(max(0, wait))
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-c.mail:
-			c.receive(m)
-		case <-alarm.C:
-			for now := c.clock(); len(c.timers) > 0 && c.timers[0].at <= now; {
-				t := heap.Pop(&c.timers).(timer)
-				c.decide(&standpoint.TimerFired{Token: t.token})
-			}
-		}
+	for c.step(ctx, alarm) {
 		if now := c.clock(); now-c.census >= int64(censusEvery) {
 			c.census = now
 			c.Figures.Servers(c.router.Census())
@@ -359,24 +352,57 @@
 	}
 }
 
-func (c *Core) receive(m any) {
-	switch m := m.(type) {
-	case List:
-		c.Servers.Update(m)
-		if c.Pools != nil {
-			for i := range m.Entries {
-				m.Entries[i].Pool = c.Pools.Place(&m.Entries[i])
-			}
-			c.Pools.Listed(m)
-		}
-		if c.Fleet != nil {
-			c.Fleet.Listed(m)
+// step takes one message or timer, or waits for it; news goes first. False: ctx has ended.
+func (c *Core) step(ctx context.Context, alarm *time.Timer) bool {
+	select {
+	case l := <-c.news:
+		c.listed(l)
+		return true
+	default:
+	}
+	wait := time.Hour
+	if len(c.timers) > 0 {
+		wait = time.Duration(c.timers[0].at - c.clock())
+	}
+	alarm.Reset(max(0, wait))
+	select {
+	case <-ctx.Done():
+		return false
+	case l := <-c.news:
+		c.listed(l)
+	case m := <-c.mail:
+		c.receive(m)
+	case <-alarm.C:
+		if len(c.timers) > 0 && c.timers[0].at <= c.clock() {
+			t := heap.Pop(&c.timers).(timer)
+			c.decide(&standpoint.TimerFired{Token: t.token})
 		}
-		news := &standpoint.EngineList{Kind: m.Kind}
-		for _, e := range m.Entries {
-			news.Engines = append(news.Engines, e.Engine)
+	}
+	return true
+}
+
+// listed takes in a change of the endpoints. The servers hear of it first: nothing that was decided on before begins at one that
+// leaves.
+func (c *Core) listed(l List) {
+	c.Servers.Update(l)
+	if c.Pools != nil {
+		for i := range l.Entries {
+			l.Entries[i].Pool = c.Pools.Place(&l.Entries[i])
 		}
-		c.decide(news)
+		c.Pools.Listed(l)
+	}
+	if c.Fleet != nil {
+		c.Fleet.Listed(l)
+	}
+	news := &standpoint.EngineList{Kind: l.Kind}
+	for _, e := range l.Entries {
+		news.Engines = append(news.Engines, e.Engine)
+	}
+	c.decide(news)
+}
+
+func (c *Core) receive(m any) {
+	switch m := m.(type) {
 	case adjusted:
 		c.Settings = m.settings
 		c.router.Adjust(m.settings)
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -143,3 +143,43 @@
 
 func (begins) Begin() error       { return nil }
 func (begins) Event([]byte) error { return nil }
+
+// noted are pools of which each flow is assigned when the test lets it, and real servers; both note what they hear in turn.
+type noted struct {
+	noPools
+	let  chan struct{}
+	note chan string
+}
+
+// noPools are Pools that say nothing.
+type noPools struct{}
+
+func (noPools) Place(*Endpoint) int                   { return 0 }
+func (noPools) Listed(List)                           {}
+func (noPools) Sent(*standpoint.Request, string, int) {}
+func (noPools) Ended(Observation)                     {}
+func (noPools) Refused(*standpoint.Request)           {}
+func (n noted) Assign(*standpoint.Request) int        { <-n.let; n.note <- "request"; return 0 }
+func (n noted) Update(List)                           { n.note <- "list" }
+func (noted) Send(a *Attempt) bool                    { return false }
+
+// A list does not wait behind what the mailbox holds: the servers hear of it once the message in hand is done with.
+func TestNewsGoesBeforeOrdinaryWork(t *testing.T) {
+	t.Parallel()
+	n := noted{let: make(chan struct{}), note: make(chan string, 1000)}
+	s := standpoint.Settings{Balancers: 1, MaxAttempts: 3, Tick: 1e6, Kinds: 1, Tenants: make([]standpoint.Tenant, 1),
+		Classes: []standpoint.Class{{Streamed: true, TTFTAim: 1e9, Deadline: 10e9, Worth: 1}}}
+	c := New(Options{Settings: s, Seed: 1, MaxFlows: 1000, Servers: n, Pools: n, Entries: quiet{}, Log: zap.NewNop()})
+	go c.Run(t.Context())
+	const waiting = 500
+	for range waiting {
+		go func() { _, _ = c.Serve(t.Context(), flow(c, 0, time.Minute)) }()
+	}
+	require.Eventually(t, func() bool { return len(c.mail) == waiting-1 }, 10*time.Second, time.Millisecond, "one is in hand")
+	c.News(List{Kind: standpoint.ListFull})
+	for range waiting {
+		n.let <- struct{}{}
+	}
+	require.Equal(t, "request", <-n.note)
+	require.Equal(t, "list", <-n.note)
+}
