Batch servers: nothing is uploaded and no batch made behind a drain, or for a client that left

A file that was under way as its server was told to drain, up to 5 s in its upload, became a batch all the same (batchserver.go, carry). Upload and making now ask all attempts of the file as their first byte is written, in the place where streams do (link.Write); a file of which one may not begin is made anew of the others.

--- a/internal/realserver/batchserver.go
+++ b/internal/realserver/batchserver.go
@@ -7,8 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"mime/multipart"
 	"net/http"
+	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"time"
 
@@ -103,30 +106,21 @@
 	}
 }
 
+// errNotBegun is that of a file of which, as it was sent, some attempt might not begin any more.
+var errNotBegun = errors.New("not begun")
+
 // carry takes a file from its upload to the last outcome. A line cannot be called back alone: where an
 // attempt is given up, the whole batch is cancelled, and no attempt ends before the server has confirmed
 // that the batch is over, or is lost. Until then a line that did not run yet may still do so.
 func (s *batchServer) carry(address string, p *parcel) {
-	for id, a := range p.attempts {
-		if a.Context().Err() != nil { // given up while it was gathered
-			s.end(p, id, node.Result{Code: failure(a.Context(), false, nil)})
-			continue
-		}
-		defer context.AfterFunc(a.Context(), p.stop)()
-	}
-	if len(p.attempts) == 0 {
-		return
-	}
 	base := "http://" + address
-	fileID, err := s.upload(base, p)
-	if err != nil { // a file alone runs nothing
-		s.endAll(p, standpoint.NoConnection, err)
-		return
+	for _, a := range p.attempts {
+		defer context.AfterFunc(a.Context(), p.stop)()
 	}
-	var made remote
-	status, err := s.call(http.MethodPost, base+"/v1/batches", map[string]string{"input_file_id": fileID,
-		"endpoint": "/v1/chat/completions", "completion_window": "24h"}, &made)
+	made, status, err := s.begin(base, p)
 	switch {
+	case len(p.attempts) == 0:
+		return
 	case err != nil && status == 0:
 		s.endAll(p, standpoint.ConnectionLost, err) // it may have been made all the same
 		return
@@ -161,6 +155,46 @@
 	s.endAll(p, code, errors.New("no result for the line in a batch that is "+final.Status))
 }
 
+// begin uploads the file and has its batch made. Both are asked of the attempts as their first byte is written: where one may not
+// begin any more, for its client has gone or the server is leaving, it is dropped, and the file made anew of the others.
+func (s *batchServer) begin(base string, p *parcel) (made remote, status int, err error) {
+	for {
+		for id, a := range p.attempts {
+			if a.MayBegin() != nil {
+				s.end(p, id, notBegun(a.Context()))
+			}
+		}
+		if len(p.attempts) == 0 {
+			return remote{}, 0, nil
+		}
+		fileID, err := s.upload(base, p)
+		if err == nil {
+			status, err = s.callIf(p.mayBegin(), http.MethodPost, base+"/v1/batches", map[string]string{"input_file_id": fileID,
+				"endpoint": "/v1/chat/completions", "completion_window": "24h"}, &made)
+			if !errors.Is(err, errNotBegun) {
+				return made, status, err
+			}
+		}
+		if !errors.Is(err, errNotBegun) { // a file alone runs nothing
+			s.endAll(p, standpoint.NoConnection, err)
+			return remote{}, 0, nil
+		}
+	}
+}
+
+// mayBegin asks whether all attempts that are in the file now may begin.
+func (p *parcel) mayBegin() func() error {
+	attempts := slices.Collect(maps.Values(p.attempts))
+	return func() error {
+		for _, a := range attempts {
+			if err := a.MayBegin(); err != nil {
+				return fmt.Errorf("%w: %w", errNotBegun, err)
+			}
+		}
+		return nil
+	}
+}
+
 // remote is what this client reads of a batch object.
 type remote struct {
 	ID           string `json:"id"`
@@ -238,14 +272,14 @@
 	var file struct {
 		ID string `json:"id"`
 	}
-	_, err = s.do(http.MethodPost, base+"/v1/files", form.FormDataContentType(), &body, &file)
+	_, err = s.do(p.mayBegin(), http.MethodPost, base+"/v1/files", form.FormDataContentType(), body.Bytes(), &file)
 	return file.ID, err
 }
 
 // join ends the attempts whose results a file holds.
 func (s *batchServer) join(base, id string, p *parcel) error {
 	var raw []byte
-	if _, err := s.do(http.MethodGet, base+"/v1/files/"+id+"/content", "", nil, &raw); err != nil {
+	if _, err := s.do(nil, http.MethodGet, base+"/v1/files/"+id+"/content", "", nil, &raw); err != nil {
 		return err
 	}
 	for text := range bytes.Lines(raw) {
@@ -335,21 +369,43 @@
 
 // call sends a small object and reads one. Status 0: no answer came.
 func (s *batchServer) call(method, url string, send, receive any) (int, error) {
-	var body io.Reader
+	return s.callIf(nil, method, url, send, receive)
+}
+
+// callIf is call where may, if not nil, is asked as the first byte is written.
+func (s *batchServer) callIf(may func() error, method, url string, send, receive any) (int, error) {
+	var body []byte
 	if send != nil {
-		raw, err := json.Marshal(send)
-		if err != nil {
+		var err error
+		if body, err = json.Marshal(send); err != nil {
 			return 0, err
 		}
-		body = bytes.NewReader(raw)
 	}
-	return s.do(method, url, "application/json", body, receive)
+	return s.do(may, method, url, "application/json", body, receive)
+}
+
+// do makes a call, once more where a kept connection took nothing of it.
+func (s *batchServer) do(may func() error, method, url, contentType string, body []byte, receive any) (status int, err error) {
+	for range 1 + freshTries {
+		if status, err = s.doOnce(may, method, url, contentType, body, receive); !errors.Is(err, errSpent) {
+			break
+		}
+		s.client.CloseIdleConnections()
+	}
+	return status, err
 }
 
-func (s *batchServer) do(method, url, contentType string, body io.Reader, receive any) (int, error) {
+func (s *batchServer) doOnce(may func() error, method, url, contentType string, body []byte, receive any) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, url, body)
+	if may != nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+			if l, ok := info.Conn.(*link); ok {
+				l.begin(0, may)
+			}
+		}})
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
