By hand: no list waits behind the lock of the file that processes share

The keeper's order was held while the shared file's lock was waited for (command, Sync, Keep): with the other process stopped as it holds that, no drain reached this one's core. Commands have a lock of their own now, and take effect here before the file is written.

--- a/internal/entries/byhand.go
+++ b/internal/entries/byhand.go
@@ -36,6 +36,10 @@
 	share  *handover.Share // nil: nobody to share with
 	log    *zap.Logger
 
+	// commands is held while the record is changed or read. The other process may hold the shared file's lock for as long as it
+	// likes, so nobody waits for that one with the keeper's order in hand: lists go on being told.
+	commands sync.Mutex
+
 	mu     sync.Mutex
 	record handover.Record
 	seen   map[string]bool // the names in record.Seen
@@ -106,49 +110,48 @@
 	})
 }
 
-// command carries out a change of one name: in the record that processes share, here, and in the core.
+// command carries out a change of one name: here and in the core at once, then in the record that processes share.
 func (b *ByHand) command(name string, change func(r *handover.Record, now int64)) error {
-	b.keeper.order.Lock()
-	defer b.keeper.order.Unlock()
+	b.commands.Lock()
+	defer b.commands.Unlock()
 	b.mu.Lock()
 	known := b.seen[name] || b.record.Down[name] != 0
+	next := handover.Record{Down: maps.Clone(b.record.Down), Back: maps.Clone(b.record.Back), Seen: b.record.Seen}
 	b.mu.Unlock()
 	if !known {
 		return fmt.Errorf("%w: %q", ErrNeverListed, name)
 	}
-	return b.change(func(r *handover.Record) { change(r, time.Now().UnixNano()) })
+	now := time.Now().UnixNano()
+	change(&next, now)
+	b.take(next)
+	return b.keep(func(r *handover.Record) { change(r, now) })
 }
 
-// change changes the record, in the shared file where there is one, and tells the core of what is different. The keeper's
-// order is held.
-func (b *ByHand) change(change func(*handover.Record)) error {
-	var err error
-	if b.share != nil {
-		var r handover.Record
-		if r, err = b.share.Update(func(r *handover.Record) {
-			change(r)
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			theirs := slices.DeleteFunc(r.Seen, func(name string) bool { return b.seen[name] })
-			r.Seen = append(theirs, b.record.Seen...)
-			r.Seen = r.Seen[max(0, len(r.Seen)-seenMost):]
-		}); err == nil {
-			b.take(r)
-			return nil
-		}
+// keep changes the record in the shared file, where there is one, and takes what it then says. The commands' lock is held.
+func (b *ByHand) keep(change func(*handover.Record)) error {
+	if b.share == nil {
+		return nil
+	}
+	r, err := b.share.Update(func(r *handover.Record) {
+		change(r)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		theirs := slices.DeleteFunc(r.Seen, func(name string) bool { return b.seen[name] })
+		r.Seen = append(theirs, b.record.Seen...)
+		r.Seen = r.Seen[max(0, len(r.Seen)-seenMost):]
+	})
+	if err != nil {
 		b.log.Error("what staff decided is not kept for a process that takes over", zap.Error(err))
-		err = fmt.Errorf("%w: %w", ErrNotKept, err)
+		return fmt.Errorf("%w: %w", ErrNotKept, err)
 	}
-	b.mu.Lock()
-	next := handover.Record{Down: maps.Clone(b.record.Down), Back: maps.Clone(b.record.Back), Seen: b.record.Seen}
-	b.mu.Unlock()
-	change(&next)
-	b.take(next)
-	return err
+	b.take(r)
+	return nil
 }
 
 // take makes a record the one that holds, and tells the core anew of the names in which it differs.
 func (b *ByHand) take(r handover.Record) {
+	b.keeper.order.Lock()
+	defer b.keeper.order.Unlock()
 	b.mu.Lock()
 	for len(r.Back) > backMost {
 		oldest := ""
@@ -170,13 +173,13 @@
 	}, b.to)
 }
 
-// Sync takes in what another process of this node was told, where there is news.
+// Sync takes in what another process of this node was told, where there is news. While a command is carried out it leaves that for the
+// next time.
 func (b *ByHand) Sync() {
-	if b.share == nil {
+	if b.share == nil || !b.commands.TryLock() {
 		return
 	}
-	b.keeper.order.Lock()
-	defer b.keeper.order.Unlock()
+	defer b.commands.Unlock()
 	r, changed, err := b.share.Read()
 	if err != nil {
 		b.log.Error("the record that processes of this node share is not used", zap.Error(err))
@@ -188,12 +191,9 @@
 
 // Keep writes down all that was ever listed, for a process that takes over.
 func (b *ByHand) Keep() {
-	if b.share == nil {
-		return
-	}
-	b.keeper.order.Lock()
-	defer b.keeper.order.Unlock()
-	_ = b.change(func(*handover.Record) {}) // logged
+	b.commands.Lock()
+	defer b.commands.Unlock()
+	_ = b.keep(func(*handover.Record) {}) // logged
 }
 
 // Out is how many real servers are out by hand.
