Servers are told what is left as the request gets its connection; cold allowance tested at 2 to 300 nodes

Seen: a connection that comes up 0.4 s late is told the time that was left 0.4 s before, 1.989 s where 1.745 s with the slack was allowed (TestTheDeadlineThatServersAreTold; first, second and third attempts). At fault: newRequest set X-Expires-In before the connection was had. It is set as the connection is got now, behind which the head is written.

TestAColdServersAllowanceOverAllNodes has 2, 3, 5, 10 and 40 nodes too, and servers of one request a second, whose allowance begins at two calls: all within N + 2 root of N + 2, so within the wider figure for under 30 calls as well."

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -301,58 +301,63 @@
 // from all nodes together, whatever the number of nodes is and is thought to be: from the first moment of a start that is told to all at
 // once, with all of the traffic before it, evenly over the nodes or not, one server cold or half of them.
 func TestAColdServersAllowanceOverAllNodes(t *testing.T) {
-	const slide = 4 // of a window
-	for _, nodes := range []int{20, 30, 300} {
+	for _, nodes := range []int{2, 3, 5, 10, 20, 30, 40, 300} {
 		for _, thought := range []int{1, nodes, 10 * nodes} {
-			for _, fresh := range []int{1, 50} {
-				uneven := fresh > 1 || thought != nodes
-				t.Run(fmt.Sprintf("%d nodes, %d thought, %d cold, uneven %t", nodes, thought, fresh, uneven), func(t *testing.T) {
-					t.Parallel()
-					s := base()
-					s.Balancers, s.WarmUp, s.ColdShare, s.FallFactor, s.Fall = nodes, 24*second, 0.13, 4, 3*second
-					list := &EngineList{Kind: ListFull}
-					for i := range 100 {
-						list.Engines = append(list.Engines, Engine{Name: name(i), Size: 1})
-					}
-					f := newFleet(s, list)
-					for i, r := range f.nodes {
-						r.set.Balancers = thought
-						if uneven && i%5 == 0 { // six times what the others have
-							f.nodes = append(f.nodes, r, r, r, r, r)
-						}
-					}
-					const each = 300.0 // 3 to each server: what they are taken to do when warm
-					f.play(20*second, each, served)
-					start := f.now
-					for i := range fresh {
-						list.Engines[i].ReadyAt = start
-					}
-					f.tell(list)
-					var sent []map[string]int
-					for at := start; at < start+s.WarmUp; at += s.Fall / slide {
-						sent = append(sent, maps.Clone(f.sent))
-						f.play(s.Fall/slide, each, served)
-						if len(sent) < slide {
-							continue
-						}
-						from := sent[len(sent)-slide]
-						warm := s.ColdShare + (1-s.ColdShare)*(seconds(f.now-start)-seconds(s.Fall)/2)/seconds(s.WarmUp)
-						n := s.FallFactor * warm * each / 100 * seconds(s.Fall)
-						for i := range fresh {
-							if got, most := float64(f.sent[name(i)]-from[name(i)]), n+2*math.Sqrt(n)+2; got > most {
-								t.Errorf("%g requests in the 3 s to %g s, the rule allows %.1f", got, seconds(f.now-start), most)
-							}
-						}
-					}
-					if f.sent[name(0)] == sent[0][name(0)] {
-						t.Error("it got nothing at all")
-					}
-				})
+			// Three requests a second to each server, what they are taken to do when warm, and one, whose allowance begins at two.
+			for _, each := range []float64{300, 100} {
+				testColdAllowance(t, nodes, thought, each, 1, thought != nodes)
+				testColdAllowance(t, nodes, thought, each, 50, true)
 			}
 		}
 	}
 }
 
+// testColdAllowance has so many servers of a hundred start, before nodes that get so many requests a second together.
+func testColdAllowance(t *testing.T, nodes, thought int, each float64, fresh int, uneven bool) {
+	const slide = 4 // of a window
+	t.Run(fmt.Sprintf("%d nodes, %d thought, %g requests a second, %d cold, uneven %t", nodes, thought, each, fresh, uneven), func(t *testing.T) {
+		t.Parallel()
+		s := base()
+		s.Balancers, s.WarmUp, s.ColdShare, s.FallFactor, s.Fall = nodes, 24*second, 0.13, 4, 3*second
+		list := &EngineList{Kind: ListFull}
+		for i := range 100 {
+			list.Engines = append(list.Engines, Engine{Name: name(i), Size: 1})
+		}
+		f := newFleet(s, list)
+		for i, r := range f.nodes {
+			r.set.Balancers = thought
+			if uneven && i%5 == 0 { // six times what the others have
+				f.nodes = append(f.nodes, r, r, r, r, r)
+			}
+		}
+		f.play(20*second, each, served)
+		start := f.now
+		for i := range fresh {
+			list.Engines[i].ReadyAt = start
+		}
+		f.tell(list)
+		var sent []map[string]int
+		for at := start; at < start+s.WarmUp; at += s.Fall / slide {
+			sent = append(sent, maps.Clone(f.sent))
+			f.play(s.Fall/slide, each, served)
+			if len(sent) < slide {
+				continue
+			}
+			from := sent[len(sent)-slide]
+			warm := s.ColdShare + (1-s.ColdShare)*(seconds(f.now-start)-seconds(s.Fall)/2)/seconds(s.WarmUp)
+			n := s.FallFactor * warm * each / 100 * seconds(s.Fall)
+			for i := range fresh {
+				if got, most := float64(f.sent[name(i)]-from[name(i)]), n+2*math.Sqrt(n)+2; got > most {
+					t.Errorf("%g requests in the 3 s to %g s, the rule allows %.1f", got, seconds(f.now-start), most)
+				}
+			}
+		}
+		if f.sent[name(0)] == sent[0][name(0)] {
+			t.Error("it got nothing at all")
+		}
+	})
+}
+
 // However much the fleet gives up, the requests with the longest prompts of a class, which promise the least for their work, get two
 // thirds of the class's answered share, the longest tenth and the fifth behind it; and sessions whose turns are all long are not
 // refused throughout while there is room for most.
--- a/internal/realserver/server.go
+++ b/internal/realserver/server.go
@@ -316,10 +316,12 @@
 // once sends the request over one connection, a kept one where there is one, and carries its answer.
 func (s *server) once(transport *http.Transport, address string, a *node.Attempt) (result node.Result, kept bool, err error) {
 	var used atomic.Pointer[link]
+	var request *http.Request
 	// Whether the request may have run is told by its last byte: before that is written no server starts.
 	ctx := httptrace.WithClientTrace(a.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			kept = info.Reused
+			expiresIn(request, a) // the connection may have come up late; the head is written behind this call
 			if l, ok := info.Conn.(*link); ok {
 				l.begin(len(a.Flow.Work.Body), a.MayBegin)
 				used.Store(l)
@@ -330,7 +332,7 @@
 	if err := a.MayBegin(); err != nil {
 		return notBegun(ctx), false, err
 	}
-	request, err := newRequest(ctx, address, a)
+	request, err = newRequest(ctx, address, a)
 	if err != nil {
 		return node.Result{Code: standpoint.NotSent}, false, err
 	}
@@ -383,11 +385,15 @@
 	request.GetBody = nil
 	request.Header.Set("Content-Type", work.ContentType)
 	request.Header.Set("X-Trace-Id", work.TraceID)
-	request.Header.Set("X-Expires-In", fmt.Sprintf("%dm", max(1, time.Until(a.Until).Milliseconds())))
 	request.Header.Set("User-Agent", "standpoint")
 	return request, nil
 }
 
+// expiresIn tells the server how much time its client has left.
+func expiresIn(request *http.Request, a *node.Attempt) {
+	request.Header.Set("X-Expires-In", fmt.Sprintf("%dm", max(1, time.Until(a.Until).Milliseconds())))
+}
+
 // failure says how an attempt without a whole answer ended. An answer that cannot be read shows, unlike a lost
 // connection, that the server is there: it is an error of this one request.
 func failure(ctx context.Context, wrote bool, l *link) standpoint.Code {
