--- a/api.go
+++ b/api.go
@@ -18,9 +18,9 @@
 type Group uint8
 
 const (
-	GroupAll Group = iota
-	GroupZone
-	GroupCell
+	GroupAll  Group = iota // all of the tier
+	GroupZone              // those of its zone
+	GroupCell              // those of its cell
 )
 
 // ReportMode says how load reports reach the gateway.
@@ -89,9 +89,9 @@
 type State uint8
 
 const (
-	Ready State = iota
-	Draining
-	Gone
+	Ready    State = iota // takes requests
+	Draining              // finishes what it has
+	Gone                  // not listed any more
 )
 
 // Engine is one entry of discovery's list.
@@ -153,14 +153,14 @@
 type Code uint8
 
 const (
-	Served Code = iota
-	ServerError
-	TurnedAway
-	NoAnswer
-	NoConnection
-	ConnectionLost
-	Cancelled
-	NotSent
+	Served         Code = iota // whole
+	ServerError                // answered as failed; it may have run
+	TurnedAway                 // rejected unseen: it never ran
+	NoAnswer                   // none in time; it may run yet
+	NoConnection               // none came up: it never ran
+	ConnectionLost             // after the request was written; it may have run
+	Cancelled                  // given up by this node
+	NotSent                    // nothing of it was
 )
 
 var codeNames = [...]string{"served", "server_error", "turned_away", "no_answer", "no_connection", "connection_lost",
--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -452,8 +452,7 @@
 // cancel stops what has not been sent; lines that are out end by themselves.
 func (f *Front) cancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	b, _, ok := f.batch(id)
-	if !ok {
+	if _, _, ok := f.batch(id); !ok {
 		missing(w, "batch", id)
 		return
 	}
@@ -467,7 +466,7 @@
 		f.failed(w, err)
 		return
 	}
-	b, _, _ = f.batch(id)
+	b, _, _ := f.batch(id)
 	if over {
 		refuse(w, http.StatusConflict, "invalid_request_error", "id",
 			fmt.Sprintf("a batch that is %s cannot be cancelled", b.Status))
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -244,7 +244,7 @@
 		}
 		sort.SliceStable(waiting, func(i, j int) bool { return waiting[i].record.Until < waiting[j].record.Until })
 		var next *line
-		wait := expires.Sub(time.Now())
+		wait := time.Until(expires)
 		if len(waiting) > 0 {
 			next = waiting[0]
 			wait = min(wait, time.Until(time.UnixMilli(next.record.Until)))
--- a/internal/cli/entries.go
+++ b/internal/cli/entries.go
@@ -92,6 +92,7 @@
 	Entry entries.Origin `json:"entry"`
 }
 
+// String implements fmt.Stringer.
 func (c EntryChange) String() string {
 	s := fmt.Sprintf("%s %-7s %s", c.At.Format("15:04:05.000"), c.What, c.Entry.Name)
 	if c.What == "gone" {
--- a/internal/cli/kill_test.go
+++ b/internal/cli/kill_test.go
@@ -157,7 +157,10 @@
 	require.True(t, ok)
 	status, said := v.call("POST", "/v1/batches", "application/json", strings.NewReader(fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"1h"}`, file)))
 	require.Equal(t, http.StatusOK, status, said)
-	var b struct{ ID, Status, Output_file_id string }
+	var b struct {
+		ID, Status   string
+		OutputFileID string `json:"output_file_id"`
+	}
 	require.NoError(t, json.Unmarshal([]byte(said), &b))
 	stream, err := v.chat(t.Context(), "stream")
 	require.NoError(t, err)
@@ -189,7 +192,7 @@
 		_, said = v.call("GET", "/v1/batches/"+b.ID, "", nil)
 		return json.Unmarshal([]byte(said), &b) == nil && b.Status == "completed"
 	}, 30*time.Second, 20*time.Millisecond, said)
-	_, output := v.call("GET", "/v1/files/"+b.Output_file_id+"/content", "", nil)
+	_, output := v.call("GET", "/v1/files/"+b.OutputFileID+"/content", "", nil)
 	require.Equal(t, 3, strings.Count(output, "answer to line"))
 	mu.Lock()
 	defer mu.Unlock()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,6 +44,7 @@
 	Leader string `json:"leader,omitempty"`
 }
 
+// Error implements error.
 func (e *Error) Error() string {
 	if e.Key != "" {
 		return e.Key + ": " + e.Message
--- a/internal/find/dnssd/guard.go
+++ b/internal/find/dnssd/guard.go
@@ -20,8 +20,8 @@
 type Judgement int
 
 const (
-	Believe Judgement = iota
-	Wait              // hold the last list, and ask again
+	Believe Judgement = iota // the answer is the list
+	Wait                     // hold the last list, and ask again
 )
 
 // Judge is shown each whole answer: how many boxes were listed, how many of them are still, whether the zone's serial
--- a/internal/find/dnssd/records.go
+++ b/internal/find/dnssd/records.go
@@ -24,6 +24,7 @@
 	SOA  = Kind(dns.TypeSOA)
 )
 
+// String implements fmt.Stringer.
 func (k Kind) String() string { return dns.TypeToString[uint16(k)] }
 
 // Record is a resource record, decoded. Which fields are set depends on the kind.
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -50,6 +50,7 @@
 // Refusal is a leader's no.
 type Refusal string
 
+// Error implements error.
 func (r Refusal) Error() string { return string(r) }
 
 // doer is what a node does when it is called for it: everywhere, or where it leads alone.
--- a/internal/fleet/invariant/invariant.go
+++ b/internal/fleet/invariant/invariant.go
@@ -28,6 +28,7 @@
 var words = [rules]string{"spent_over_rights", "lent_over_share", "mode_table", "count_bounds", "left_out_share", "one_claim", "session_table",
 	"ledger_sums"}
 
+// String implements fmt.Stringer.
 func (r Rule) String() string { return words[r] }
 
 // Exit is the code with which a process ends at a violation, where it is strict.
--- a/internal/fleet/ledger/file.go
+++ b/internal/fleet/ledger/file.go
@@ -36,6 +36,7 @@
 	Torn   bool // the end of the last segment: a write that was not finished
 }
 
+// Error implements error.
 func (d *Damage) Error() string {
 	return fmt.Sprintf("%s, byte %d: %s", d.File, d.Offset, d.Reason)
 }
--- a/internal/fleet/mode/mode.go
+++ b/internal/fleet/mode/mode.go
@@ -24,6 +24,7 @@
 
 var words = [...]string{"joining", "alone", "together", "cut off with others", "hearing nothing", "healing"}
 
+// String implements fmt.Stringer.
 func (m Mode) String() string { return words[m] }
 
 // follows is the table: from which modes each may be entered.
--- a/internal/fleet/sessions/sessions.go
+++ b/internal/fleet/sessions/sessions.go
@@ -230,6 +230,7 @@
 	Wait   time.Duration
 }
 
+// Error implements error.
 func (f *Fault) Error() string { return f.Text }
 
 // fault is what a client is told of an error.
--- a/internal/fleet/sessions/sessions_test.go
+++ b/internal/fleet/sessions/sessions_test.go
@@ -157,16 +157,17 @@
 	var body struct {
 		Model    string
 		Messages []struct {
-			Role, Content, Tool_call_id string
-			Tool_calls                  []toolCall
+			Role, Content string
+			ToolCallID    string     `json:"tool_call_id"`
+			ToolCalls     []toolCall `json:"tool_calls"`
 		}
 	}
 	require.NoError(t, json.Unmarshal(r.Body, &body))
 	require.Equal(t, "m", body.Model)
 	require.Len(t, body.Messages, 4)
 	require.Equal(t, "the crew is ", body.Messages[1].Content)
-	require.Equal(t, `{"crew":1}`, body.Messages[1].Tool_calls[1].Function.Arguments)
-	require.Equal(t, "c1", body.Messages[3].Tool_call_id)
+	require.Equal(t, `{"crew":1}`, body.Messages[1].ToolCalls[1].Function.Arguments)
+	require.Equal(t, "c1", body.Messages[3].ToolCallID)
 	require.Equal(t, 1, r.Request.Class)
 	require.EqualValues(t, 4, r.Fresh, "two results of seven characters, as they stand")
 	require.EqualValues(t, 7, r.Start)
--- a/internal/fleet/site/site.go
+++ b/internal/fleet/site/site.go
@@ -22,6 +22,7 @@
 
 var words = [...]string{"connected", "doubtful", "alone", "reconciling"}
 
+// String implements fmt.Stringer.
 func (m Mode) String() string { return words[m] }
 
 // follows is the table: from which modes each may be entered.
--- a/internal/lab/baseline.go
+++ b/internal/lab/baseline.go
@@ -23,18 +23,17 @@
 // baseline is a policy of the field. Each sends at once, tries elsewhere what failed, three times in all, and fails
 // what has no box left; none turns down.
 type baseline struct {
-	kind    string
-	set     standpoint.Settings
-	rng     *rand.Rand
-	names   []string // ready, in order
-	pools   map[string]int
-	out     map[string]int // own attempts out
-	open    map[int64]*flight
-	turn    int
-	now     int64
-	acts    []standpoint.Action
-	truth   func(name string, q *standpoint.Request) float64 // of the ceiling: seconds to the first token
-	perTurn map[string]float64                               // ceiling: what was sent and has not arrived, seconds
+	kind  string
+	set   standpoint.Settings
+	rng   *rand.Rand
+	names []string // ready, in order
+	pools map[string]int
+	out   map[string]int // own attempts out
+	open  map[int64]*flight
+	turn  int
+	now   int64
+	acts  []standpoint.Action
+	truth func(name string, q *standpoint.Request) float64 // of the ceiling: seconds to the first token
 }
 
 type flight struct {
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -41,10 +41,10 @@
 type Verdict int
 
 const (
-	Taken Verdict = iota
-	Full          // queue full, or draining: it never ran
-	Errored
-	Dead // no connection
+	Taken   Verdict = iota // it runs
+	Full                   // queue full, or draining: it never ran
+	Errored                // answered as failed
+	Dead                   // no connection
 )
 
 // Report is a box's load.
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -99,8 +99,8 @@
 func (p *peer) start(t *testing.T) string {
 	return testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock() // held while it stalls
-		p.mu.Unlock()
 		p.count.Add(1)
+		p.mu.Unlock()
 		testpeer.Event(w, "a")
 		testpeer.Finish(w)
 	})
--- a/internal/lab/load/pattern.go
+++ b/internal/lab/load/pattern.go
@@ -216,6 +216,7 @@
 	return v, nil
 }
 
+// String implements fmt.Stringer.
 func (p *Pattern) String() string { return p.text }
 
 // Rate is the rate at a time in seconds from the start.
--- a/internal/lab/rig/box.go
+++ b/internal/lab/rig/box.go
@@ -21,7 +21,6 @@
 	Failing atomic.Bool   // it errs
 	server  *http.Server
 
-	mu      sync.Mutex
 	talking map[string]int // decodings of a session that are under way, at this box
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -94,7 +94,6 @@
 	lateSends int
 	breaches  map[string]int // of the rules, by name
 	attempts  int
-	asked     int
 	firsts    []float64 // seconds from a request's arrival to its first token, by when it came
 	firstsAt  []float64
 
--- a/internal/mover/plan.go
+++ b/internal/mover/plan.go
@@ -60,6 +60,7 @@
 // Fault is a plan's wrong key.
 type Fault struct{ Key, Reason string }
 
+// Error implements error.
 func (f *Fault) Error() string { return f.Key + ": " + f.Reason }
 
 // Check finds the first key of a plan that cannot be carried out. Its errors are *Fault.
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -64,10 +64,10 @@
 	Served     AnswerKind = iota // whole, passed on
 	Broken                       // begun and broken off
 	TurnedDown                   // refused: trying again is harmless
-	Failed
-	ClientGone
-	Moved    // begun, and left with its connection to another process of this node
-	Rejected // by a real server, for what the request itself is: no other would take it
+	Failed                       // no promise is made of its effect
+	ClientGone                   // nobody is there to answer
+	Moved                        // begun, and left with its connection to another process of this node
+	Rejected                     // by a real server, for what the request itself is: no other would take it
 )
 
 // Answer is a flow's one final answer. Wait, if not 0, is when a client turned down should come back; Status is the
--- a/internal/node/phase.go
+++ b/internal/node/phase.go
@@ -13,13 +13,14 @@
 
 const (
 	Starting      Phase = iota // the list is being seeded; clients are not admitted yet
-	Serving                    //
+	Serving                    // clients are admitted
 	DrainedByHand              // staff send clients away; there is a way back
 	HandingOver                // told to stop while another process of this node serves at the same socket
 	Draining                   // told to stop: takes what still comes, answers all of it
-	Stopped
+	Stopped                    // nothing is taken any more
 )
 
+// String implements fmt.Stringer.
 func (p Phase) String() string {
 	return [...]string{"starting", "serving", "drained by hand", "handing over", "draining", "stopped"}[p]
 }
--- a/internal/pool/selector.go
+++ b/internal/pool/selector.go
@@ -54,6 +54,7 @@
 	Reason       string
 }
 
+// Error implements error.
 func (e *SyntaxError) Error() string {
 	if e.Line > 1 {
 		return fmt.Sprintf("line %d, column %d: %s", e.Line, e.Column, e.Reason)
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Format check, vet, the deploy build, and all tests.
+# Format check, vet, linter, the deploy build, and all tests.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -8,5 +8,6 @@
 	exit 1
 fi
 go vet ./...
+go tool -modfile=tools/go.mod staticcheck -checks all ./... # pinned there; comments_test.go looks for doc comments
 mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 exec bash ./known-red.sh
