--- a/internal/realserver/batchdrain_test.go
+++ b/internal/backend/batchdrain_test.go
@@ -1,4 +1,4 @@
-package realserver_test
+package backend_test
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 	"standpoint/internal/testpeer"
 )
 
-// fileServer is a real server that takes files: an upload waits until it is let go.
+// fileServer is a backend that takes files: an upload waits until it is let go.
 type fileServer struct {
 	uploads chan struct{} // one for each that came
 	let     chan struct{}
--- a/internal/realserver/batchserver.go
+++ b/internal/backend/batchserver.go
@@ -1,4 +1,4 @@
-package realserver
+package backend
 
 import (
 	"bytes"
@@ -26,7 +26,7 @@
 	answerMost = 64 << 20 // of an output or error file
 )
 
-// BatchOptions say how a real server that takes files is worked with.
+// BatchOptions say how a backend that takes files is worked with.
 type BatchOptions struct {
 	Gather time.Duration // attempts are gathered for this long into one file
 	Lines  int           // and into files of so many at most
@@ -34,7 +34,7 @@
 	Lost   time.Duration // without an answer for so long the server is taken to be lost
 }
 
-// batchServer is the actor of a real server that takes files: it gathers attempts into one, uploads it,
+// batchServer is the actor of a backend that takes files: it gathers attempts into one, uploads it,
 // polls its batch and joins the answers by custom_id.
 type batchServer struct {
 	Options
--- a/internal/realserver/chunks.go
+++ b/internal/backend/chunks.go
@@ -1,4 +1,4 @@
-package realserver
+package backend
 
 import "errors"
 
--- a/internal/realserver/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -1,4 +1,4 @@
-package realserver
+package backend
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// Whatever a real server writes into its events, what is believed of it is a number within bounds.
+// Whatever a backend writes into its events, what is believed of it is a number within bounds.
 func FuzzEvents(f *testing.F) {
 	for _, s := range []string{
 		"data: {\"choices\":[]}\n\ndata: {\"usage\":{\"completion_tokens\":200,\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\ndata: [DONE]\n\n",
--- a/internal/realserver/link.go
+++ b/internal/backend/link.go
@@ -1,4 +1,4 @@
-package realserver
+package backend
 
 import (
 	"errors"
@@ -29,7 +29,7 @@
 
 var errSpent = errors.New("the connection holds what no request asked for, or its end")
 
-// keep is for how long links to a real server are used again after they rested. The server may drop one without a
+// keep is for how long links to a backend are used again after they rested. The server may drop one without a
 // word, and the request on it ends as a reset that may have run: a link lost so shows that less is safe. A new
 // connection costs far less than an attempt.
 type keep struct{ span, lost atomic.Int64 }
@@ -57,7 +57,7 @@
 	k.lost.Store(time.Now().UnixNano())
 }
 
-// link is one connection to a real server. It keeps what comes behind an answer from being taken for the
+// link is one connection to a backend. It keeps what comes behind an answer from being taken for the
 // answer to the next request: http.Transport looks for that only once nobody waits for a connection.
 type link struct {
 	net.Conn
--- a/internal/realserver/moving.go
+++ b/internal/backend/moving.go
@@ -1,4 +1,4 @@
-package realserver
+package backend
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 )
 
 // Stream is an answer that is being passed on, as one process leaves it to another: with the two connections, of the
-// client and of the real server, the other goes on from the next byte.
+// client and of the backend, the other goes on from the next byte.
 type Stream struct {
 	Trace  string             `json:"trace"`
 	Class  int                `json:"class"`
--- a/internal/realserver/server.go
+++ b/internal/backend/server.go
@@ -1,6 +1,6 @@
-// Package realserver carries attempts to real servers: one actor with a mailbox for each, over
+// Package backend carries attempts to backends: one actor with a mailbox for each, over
 // http.Transport.
-package realserver
+package backend
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 )
 
 const (
-	mailboxSize = 256             // messages that one real server's actor may have waiting
+	mailboxSize = 256             // messages that one backend's actor may have waiting
 	openQuiet   = time.Second     // the first event comes with the head; later than this it does not come
 	streamQuiet = 3 * time.Second // a begun stream that is silent for longer is taken to be broken
 	restQuiet   = time.Second     // at the least, where its client asks for the rest; servers stand still for up to 600 ms
@@ -41,13 +41,13 @@
 	neverRan    = "X-Never-Ran"
 )
 
-// Options are the limits under which real servers are reached.
+// Options are the limits under which backends are reached.
 type Options struct {
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // the server closes a connection left idle for this long
-	MaxIdle     int           // connections kept to one real server between requests
+	MaxIdle     int           // connections kept to one backend between requests
 	MaxLinks    int           // connections to all, from which on those that rest are closed; 0: no bound
-	Batch       BatchOptions  // for the real servers that take files
+	Batch       BatchOptions  // for the backends that take files
 	// Dial, if not nil, opens connections to servers that stream, in place of a plain dialer: tests hold them back by it.
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Wrote func() // an attempt is written whole; nil: nobody counts
@@ -56,7 +56,7 @@
 	opens func() (closed func()) // the fleet's: a connection is about to be opened
 }
 
-// Fleet holds the actors of the real servers. Its methods are the core's, but for Adjust.
+// Fleet holds the actors of the backends. Its methods are the core's, but for Adjust.
 type Fleet struct {
 	mu sync.Mutex
 	Options
@@ -173,7 +173,7 @@
 	return s.tell(a)
 }
 
-// actor is the mailbox of one real server.
+// actor is the mailbox of one backend.
 type actor struct {
 	name  string
 	batch bool // takes files
@@ -198,13 +198,13 @@
 	}
 )
 
-// tell never waits: the core must not stand behind a real server.
+// tell never waits: the core must not stand behind a backend.
 func (a actor) tell(m any) bool {
 	select {
 	case a.mail <- m:
 		return true
 	default:
-		a.log.Warn("real server's mailbox is full", zap.String("server", a.name))
+		a.log.Warn("backend's mailbox is full", zap.String("server", a.name))
 		return false
 	}
 }
@@ -216,7 +216,7 @@
 	}
 }
 
-// server is the actor of a real server that streams.
+// server is the actor of a backend that streams.
 type server struct {
 	Options
 	actor
--- a/internal/realserver/story_test.go
+++ b/internal/backend/story_test.go
@@ -1,4 +1,4 @@
-package realserver_test
+package backend_test
 
 import (
 	"fmt"
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -27,7 +27,7 @@
 
 // Errors of commands.
 var (
-	ErrUnknown = errors.New("no real server of this id was ever listed")
+	ErrUnknown = errors.New("no backend of this id was ever listed")
 	ErrNotNow  = errors.New("the node has been told to stop")
 )
 
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -12,10 +12,10 @@
 	"golang.org/x/sys/unix"
 
 	"standpoint"
+	"standpoint/internal/backend"
 	"standpoint/internal/edge"
 	"standpoint/internal/handover"
 	"standpoint/internal/node"
-	"standpoint/internal/realserver"
 )
 
 const (
@@ -138,9 +138,9 @@
 	return func(text []byte, client, server net.Conn) bool {
 		var m moving
 		err := json.Unmarshal(text, &m)
-		var s realserver.Stream
+		var s backend.Stream
 		if err == nil {
-			s, err = realserver.DecodeStream(m.Stream)
+			s, err = backend.DecodeStream(m.Stream)
 		}
 		if err != nil || a.life.Now() > node.DrainedByHand {
 			a.log.Warn("a stream is not taken over", zap.Stringer("phase", a.life.Now()), zap.Error(err))
@@ -162,7 +162,7 @@
 
 // moveAll has the streams that are under way go on in the process that serves.
 func (a *assembly) moveAll(log *zap.Logger) {
-	n := a.fleet.Move(func(s realserver.Stream, client, server int) error {
+	n := a.fleet.Move(func(s backend.Stream, client, server int) error {
 		stream, err := json.Marshal(s)
 		var text []byte
 		if err == nil {
--- a/internal/daemon/consolepart.go
+++ b/internal/daemon/consolepart.go
@@ -53,7 +53,7 @@
 	}, stop: server.Close}, nil
 }
 
-// byHandCommand makes a call of staff of what is to be done about a real server.
+// byHandCommand makes a call of staff of what is to be done about a backend.
 func (a *assembly) byHandCommand(do func(id string) error) func(context.Context, string) error {
 	return func(ctx context.Context, id string) error {
 		done := make(chan error, 1)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -14,9 +14,9 @@
 
 var (
 	requestsDesc = prometheus.NewDesc("standpoint_requests_total", "Requests that ended, by class and end.", []string{"class", "end"}, nil)
-	attemptsDesc = prometheus.NewDesc("standpoint_attempts_total", "Attempts written whole to real servers.", nil, nil)
-	listedDesc   = prometheus.NewDesc("standpoint_real_servers_listed", "Real servers in the list.", nil, nil)
-	avoidedDesc  = prometheus.NewDesc("standpoint_real_servers_avoided", "Listed real servers that the module avoids.", nil, nil)
+	attemptsDesc = prometheus.NewDesc("standpoint_attempts_total", "Attempts written whole to backends.", nil, nil)
+	listedDesc   = prometheus.NewDesc("standpoint_real_servers_listed", "Backends in the list.", nil, nil)
+	avoidedDesc  = prometheus.NewDesc("standpoint_real_servers_avoided", "Listed backends that the module avoids.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
--- a/internal/daemon/part.go
+++ b/internal/daemon/part.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/backend"
 	"standpoint/internal/config"
 	"standpoint/internal/control"
 	"standpoint/internal/edge"
@@ -25,7 +26,6 @@
 	"standpoint/internal/handover"
 	"standpoint/internal/moves"
 	"standpoint/internal/node"
-	"standpoint/internal/realserver"
 	"standpoint/internal/store"
 )
 
@@ -65,7 +65,7 @@
 	level      zap.AtomicLevel
 	life       *node.Life
 	keys       store.Store
-	fleet      *realserver.Fleet
+	fleet      *backend.Fleet
 	pools      node.Pools         // nil: none
 	shared     *fleet.Fleet       // nil: this node shares nothing
 	sessions   *sessions.Sessions // nil: none pause
@@ -95,7 +95,7 @@
 	others     int             // of those, that live beside this one; Run's goroutine alone has it
 	company    chan int        // and that number, when it changes
 	orders     chan order      // of staff, about the phase
-	commands   chan func()     // and about the real servers
+	commands   chan func()     // and about the backends
 	settled    sync.Mutex      // held while the core's settings are put together
 	inForce    deployment      // what they come from
 	nodes      atomic.Int64    // by which the module divides; 0: as the deployment says
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -12,12 +12,12 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/backend"
 	"standpoint/internal/batch"
 	"standpoint/internal/config"
 	"standpoint/internal/edge"
 	"standpoint/internal/entries"
 	"standpoint/internal/node"
-	"standpoint/internal/realserver"
 	"standpoint/internal/store"
 )
 
@@ -64,14 +64,14 @@
 
 func fleetPart(a *assembly) (part, error) {
 	_, names, _ := a.told()
-	o := realserver.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), MaxLinks: a.limits.Flows(), Wrote: a.figures.Wrote, Log: a.log}
+	o := backend.Options{DialTimeout: names.DialTimeout, ConnIdle: names.ConnIdle, MaxIdle: a.limits.IdleLinks(), MaxLinks: a.limits.Flows(), Wrote: a.figures.Wrote, Log: a.log}
 	if a.operator != nil {
 		b := a.operator.BatchServer
-		o.Batch = realserver.BatchOptions{Gather: time.Duration(b.Gather), Lines: b.Lines, Poll: time.Duration(b.Poll),
+		o.Batch = backend.BatchOptions{Gather: time.Duration(b.Gather), Lines: b.Lines, Poll: time.Duration(b.Poll),
 			Lost: time.Duration(b.Lost)}
 	}
-	a.fleet = realserver.New(o)
-	return part{name: "real servers", reload: func(next deployment) {
+	a.fleet = backend.New(o)
+	return part{name: "backends", reload: func(next deployment) {
 		_, names, _ := next.told()
 		a.fleet.Adjust(names.DialTimeout, names.ConnIdle, next.limits.IdleLinks(), next.limits.Flows())
 	}}, nil
--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"standpoint/internal/backend"
 	"standpoint/internal/figures"
-	"standpoint/internal/realserver"
 )
 
 const (
@@ -218,7 +218,7 @@
 }
 
 // hasLeft tells that the client has ended the connection, whether the server has come to see that or not.
-func (p *clientConn) hasLeft() bool { return p.gone.Load() || realserver.HungUp(p.Conn) }
+func (p *clientConn) hasLeft() bool { return p.gone.Load() || backend.HungUp(p.Conn) }
 
 // saidMore tells that the client has sent something behind its open request.
 func (p *clientConn) saidMore() bool {
@@ -241,7 +241,7 @@
 func (p *clientConn) Close() error {
 	p.stopAhead()
 	p.dropAhead()
-	if n, _ := realserver.Peek(p.Conn); n == 0 || !p.answered.Load() || !p.room.linger(p) {
+	if n, _ := backend.Peek(p.Conn); n == 0 || !p.answered.Load() || !p.room.linger(p) {
 		return p.Conn.Close()
 	}
 	half, ok := p.Conn.(interface{ CloseWrite() error })
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -253,7 +253,7 @@
 	case node.TurnedDown:
 		turnDown(w, answer.Wait)
 	case node.Rejected:
-		refuse(w, answer.Status, "a real server found the request itself wrong")
+		refuse(w, answer.Status, "a backend found the request itself wrong")
 	default:
 		refuse(w, http.StatusBadGateway, "failed")
 	}
@@ -290,13 +290,13 @@
 	refuse(w, http.StatusServiceUnavailable, "turned down; trying again is harmless")
 }
 
-// chat is what is read of a body; a real server gets it as it came.
+// chat is what is read of a body; a backend gets it as it came.
 type chat struct {
 	Messages *[]struct {
 		Content text `json:"content"`
 	} `json:"messages"`
 	MaxTokens json.RawMessage `json:"max_tokens"`
-	odd       int             // characters of a body whose messages have another form; whether it is a good one is the real server's to say
+	odd       int             // characters of a body whose messages have another form; whether it is a good one is the backend's to say
 }
 
 // text is the number of characters of a content: of a string, or of the parts as they stand.
@@ -339,7 +339,7 @@
 		q.PrefixTokens = min(q.PrefixTokens, q.PromptTokens, 1+2*first/tokenChars)
 	}
 	if c.most() > 0 {
-		q.MaxTokens = c.most() // what the real server goes by
+		q.MaxTokens = c.most() // what the backend goes by
 	}
 }
 
@@ -504,7 +504,7 @@
 }
 
 // Event writes and flushes at once: an event that waits in a buffer is late. A client that does not read holds a place
-// at a real server meanwhile.
+// at a backend meanwhile.
 func (c *connection) Event(b []byte) error {
 	return c.spend(c.control.SetWriteDeadline, func() error {
 		if _, err := c.w.Write(b); err != nil {
--- a/internal/edge/moving.go
+++ b/internal/edge/moving.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/backend"
 	"standpoint/internal/node"
-	"standpoint/internal/realserver"
 )
 
 // Detach implements node.Detacher: between two events everything is written, and the next byte is another process's.
@@ -32,7 +32,7 @@
 	if !ours || buffered.Reader.Buffered() > 0 {
 		return 0, errors.New("a client that has said more already")
 	}
-	return realserver.Duplicate(p.Conn)
+	return backend.Duplicate(p.Conn)
 }
 
 // ClassName is the name of a class by its index; "" for one that there is not.
@@ -92,4 +92,4 @@
 }
 
 // Detach implements node.Detacher.
-func (c *adopted) Detach() (int, error) { return realserver.Duplicate(c.conn) }
+func (c *adopted) Detach() (int, error) { return backend.Duplicate(c.conn) }
--- a/internal/edge/operating_test.go
+++ b/internal/edge/operating_test.go
@@ -17,7 +17,7 @@
 	"standpoint/internal/testpeer"
 )
 
-// The figures are what clients and real servers saw: served, refused, failed, cut off, tried again, and a client who
+// The figures are what clients and backends saw: served, refused, failed, cut off, tried again, and a client who
 // left; an attempt counts once its last byte is written, long before it ends.
 func TestFiguresAgreeWithBothSides(t *testing.T) {
 	hold, release := make(chan struct{}), make(chan struct{})
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -426,7 +426,7 @@
 	}
 }
 
-// What a real server finds wrong with a request itself is the client's answer: no second server is asked, and none is
+// What a backend finds wrong with a request itself is the client's answer: no second server is asked, and none is
 // left out for it.
 func TestRequestsThatServersReject(t *testing.T) {
 	var rejected, served atomic.Int32
--- a/internal/entries/byhand.go
+++ b/internal/entries/byhand.go
@@ -15,7 +15,7 @@
 	"standpoint/internal/node"
 )
 
-// ErrNeverListed is the answer to a command about a real server that no source ever told of.
+// ErrNeverListed is the answer to a command about a backend that no source ever told of.
 var ErrNeverListed = errors.New("never listed")
 
 // ErrNotKept is the answer to a command that is carried out here, but could not be written where other processes of
@@ -27,7 +27,7 @@
 	backMost = 1024 // names that were put back; likewise
 )
 
-// ByHand is the overlay of what staff decide: whatever the sources tell of a real server that is out, the core is told
+// ByHand is the overlay of what staff decide: whatever the sources tell of a backend that is out, the core is told
 // that it drains. It holds until the server is put back: over its end, its new start or address, and the end of any
 // source. Put back it is told of as started at that moment: cold, and nothing is believed of what it was.
 type ByHand struct {
@@ -90,7 +90,7 @@
 	b.record.Seen = append(b.record.Seen, name)
 }
 
-// Down takes a real server out, at once; it may be said again.
+// Down takes a backend out, at once; it may be said again.
 func (b *ByHand) Down(name string) error {
 	return b.command(name, func(r *handover.Record, now int64) {
 		if r.Down[name] == 0 {
@@ -196,7 +196,7 @@
 	_ = b.keep(func(*handover.Record) {}) // logged
 }
 
-// Out is how many real servers are out by hand.
+// Out is how many backends are out by hand.
 func (b *ByHand) Out() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -30,12 +30,12 @@
 	// up meanwhile. A watch goes on as long as each call follows the answer before it, and costs discovery next to nothing then. To
 	// open one anew is work, for which the calls of all nodes stand in line. So a silent watch is found out soon, and the call that
 	// opens it anew keeps its place in the line: 1 s, a rest of 50 ms, 2.9 s, a rest of 100 ms, and there are 2 s for others, of
-	// which each is waited for for 1.4 s alone: the one before still stands there.
+	// which each is waited for for 1.2 s alone: the one before still stands there. Three in a row may fall silent: 5.7 s with rests.
 	watchWait  = 500 * time.Millisecond  // asked of discovery while all is well
 	watchSlack = 500 * time.Millisecond  // beyond that; without an answer by then the watch has fallen silent
 	openWait   = 100 * time.Millisecond  // of the call that opens a watch: its answer soon shows that it stands
 	openSlack  = 2800 * time.Millisecond // in the line; two such calls in a row may fall silent
-	againTime  = 1400 * time.Millisecond // of further calls, while the one before is still listened to
+	againTime  = 1200 * time.Millisecond // of further calls, while the one before is still listened to
 	wholeTime  = 2900 * time.Millisecond // of a call for the whole list, which stands in the same line
 	anewTime   = 1500 * time.Millisecond // likewise of a process that takes over, which is one of a fleet and has 4 s for it
 	lateMost   = 5 * time.Second         // beyond all that, for which an answer is still taken: discovery may be slow, or this node be
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// Wrote counts an attempt that is written whole to a real server.
+// Wrote counts an attempt that is written whole to a backend.
 func (f *Figures) Wrote() {
 	if f != nil {
 		f.attempts.Add(1)
@@ -140,7 +140,7 @@
 // Unheards is how many connections were closed without an answer for this cause.
 func (f *Figures) Unheards(why Unheard) uint64 { return f.unheard[why].Load() }
 
-// Servers notes how many real servers are listed, and how many of them the module avoids.
+// Servers notes how many backends are listed, and how many of them the module avoids.
 func (f *Figures) Servers(listed, avoided int) {
 	if f != nil {
 		f.listed.Store(int64(listed))
@@ -162,13 +162,13 @@
 // Classes are all classes that are counted.
 func (f *Figures) Classes() []*Class { return *f.every.Load() }
 
-// Attempts is how many attempts were written whole to real servers.
+// Attempts is how many attempts were written whole to backends.
 func (f *Figures) Attempts() uint64 { return f.attempts.Load() }
 
 // Listed and Avoided are what Servers noted last.
 func (f *Figures) Listed() int64 { return f.listed.Load() }
 
-// Avoided is how many of the listed real servers the module avoids.
+// Avoided is how many of the listed backends the module avoids.
 func (f *Figures) Avoided() int64 { return f.avoids.Load() }
 
 // Text is all figures, a line each.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -29,7 +29,7 @@
 // Record is what staff decided, and what is needed to go on by it.
 type Record struct {
 	Version int              `json:"version"`
-	Down    map[string]int64 `json:"down"` // real servers out by hand, and since when, Unix nanoseconds
+	Down    map[string]int64 `json:"down"` // backends out by hand, and since when, Unix nanoseconds
 	Back    map[string]int64 `json:"back"` // those put back, and when
 	Seen    []string         `json:"seen"` // all that were ever listed, the latest last
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -1,5 +1,5 @@
 // Package node is the core: flows, attempts, outcomes and deadlines round the decision module. It knows no
-// wire. Fronts bring flows, real servers' actors carry attempts, the actor of the endpoints brings
+// wire. Fronts bring flows, backends' actors carry attempts, the actor of the endpoints brings
 // the list; the module's actor is here, and it alone touches the module.
 package node
 
@@ -31,8 +31,8 @@
 	Entries []Endpoint
 }
 
-// RealServers carries attempts. Neither call may block on a peer.
-type RealServers interface {
+// Backends carries attempts. Neither call may block on a peer.
+type Backends interface {
 	Update(List)
 	Send(*Attempt) bool // false: not taken, nothing was sent
 }
@@ -107,7 +107,7 @@
 // timersLeast is how many timers there may be before those are looked for that nothing waits for any more.
 const timersLeast = 1024
 
-// censusEvery is the pause between two looks at how many real servers the module avoids.
+// censusEvery is the pause between two looks at how many backends the module avoids.
 const censusEvery = 100 * time.Millisecond
 
 // handBackWait is when a client should come again whose flow was handed back; by then it finds another node.
@@ -118,7 +118,7 @@
 	Settings standpoint.Settings
 	Seed     int64
 	MaxFlows int
-	Servers  RealServers
+	Servers  Backends
 	Entries  Entries
 	Pools    Pools            // nil: none
 	Fleet    Fleet            // nil: this node shares nothing
@@ -141,7 +141,7 @@
 	nextID  int64
 	places  *Shares
 	start   time.Time
-	census  int64 // when the real servers were last counted
+	census  int64 // when the backends were last counted
 	leaving bool  // all has been handed back: what still comes is turned down at once
 }
 
@@ -221,7 +221,7 @@
 	c.post(adjusted{settings})
 }
 
-// Advise has the module weigh what other nodes have seen of the real servers.
+// Advise has the module weigh what other nodes have seen of the backends.
 func (c *Core) Advise(a *standpoint.Advice) { c.post(advised{a}) }
 
 // Learned is a copy of what the module has learned; nil if it is not to be had before ctx ends.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -11,7 +11,7 @@
 	"standpoint"
 )
 
-// held are real servers that take every attempt and hold it until it is given up.
+// held are backends that take every attempt and hold it until it is given up.
 type held struct{ sent chan *Attempt }
 
 func (held) Update(List) {}
@@ -144,7 +144,7 @@
 func (begins) Begin() error       { return nil }
 func (begins) Event([]byte) error { return nil }
 
-// noted are pools of which each flow is assigned when the test lets it, and real servers; both note what they hear in turn.
+// noted are pools of which each flow is assigned when the test lets it, and backends; both note what they hear in turn.
 type noted struct {
 	noPools
 	let  chan struct{}
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -9,7 +9,7 @@
 	"standpoint"
 )
 
-// Work is what a flow asks for, carried to a real server as it came. The core never looks inside.
+// Work is what a flow asks for, carried to a backend as it came. The core never looks inside.
 type Work struct {
 	Method, Target, TraceID, ContentType string
 	Body                                 []byte
@@ -67,11 +67,11 @@
 	Failed                       // no promise is made of its effect
 	ClientGone                   // nobody is there to answer
 	Moved                        // begun, and left with its connection to another process of this node
-	Rejected                     // by a real server, for what the request itself is: no other would take it
+	Rejected                     // by a backend, for what the request itself is: no other would take it
 )
 
 // Answer is a flow's one final answer. Wait, if not 0, is when a client turned down should come back; Status is the
-// real server's, of one rejected. Unsent tells that no attempt was ever made.
+// backend's, of one rejected. Unsent tells that no attempt was ever made.
 type Answer struct {
 	Kind   AnswerKind
 	Wait   time.Duration
@@ -80,7 +80,7 @@
 	Usage  Usage
 }
 
-// Usage is what an answer took of a real server, as far as known.
+// Usage is what an answer took of a backend, as far as known.
 type Usage struct {
 	Known     bool    // the server told it
 	Begun     bool    // something of the answer was passed on
@@ -98,7 +98,7 @@
 
 // Reasons for which an attempt that was decided on is not begun. What was true then may have changed on the way to the socket.
 var (
-	ErrLeaving = errors.New("the real server is to get nothing new")
+	ErrLeaving = errors.New("the backend is to get nothing new")
 	ErrTooLate = errors.New("the time in which repeats are dropped is over")
 	ErrOver    = errors.New("the flow is over")
 )
@@ -111,7 +111,7 @@
 	Hook Hook
 	// Fresh, if not 0, are the tokens of the prompt that are charged: the others were, with an earlier part of the session.
 	Fresh float64
-	// Holder is the real server's process that is taken to hold so many tokens of the prompt, as somebody else knows; "": nobody.
+	// Holder is the backend's process that is taken to hold so many tokens of the prompt, as somebody else knows; "": nobody.
 	Holder string
 	Start  int64
 	Holds  float64
@@ -202,7 +202,7 @@
 	return settled
 }
 
-// Attempt is one try of a flow at a real server. A real server's actor calls Context, First, Event and End.
+// Attempt is one try of a flow at a backend. A backend's actor calls Context, First, Event and End.
 type Attempt struct {
 	Flow   *Flow
 	Leg    int
@@ -211,7 +211,7 @@
 	Sent   time.Time
 	// By is the moment from which the attempt may not begin any more; zero: none.
 	By time.Time
-	// Barred, if not nil, tells that its server may get nothing new. The actors of the real servers set it before the attempt
+	// Barred, if not nil, tells that its server may get nothing new. The actors of the backends set it before the attempt
 	// is on its way.
 	Barred func() bool
 	// Resumes tells that the client, should the stream break, asks for the rest of it.
@@ -247,7 +247,7 @@
 // HeldLeast is from when on a client counts as slow to take an event; less may be this machine's own delay.
 const HeldLeast = 100 * time.Millisecond
 
-// Result is how an attempt ended, as the real server's actor saw it.
+// Result is how an attempt ended, as the backend's actor saw it.
 type Result struct {
 	Code   standpoint.Code
 	Kept   float64
@@ -349,7 +349,7 @@
 // BreakOff ends the answer where it stands, if something of it has been passed on.
 func (f *Flow) BreakOff() { f.breakOff(ErrHandedBack) }
 
-// Server is the real server whose answer is passed on; "" before any is.
+// Server is the backend whose answer is passed on; "" before any is.
 func (f *Flow) Server() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -23,11 +23,11 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/backend"
 	"standpoint/internal/config"
 	"standpoint/internal/edge"
 	"standpoint/internal/figures"
 	"standpoint/internal/node"
-	"standpoint/internal/realserver"
 )
 
 // Settings are a small deployment with one class and one tenant.
@@ -46,7 +46,7 @@
 // Node is a node's inside on loopback, without discovery.
 type Node struct {
 	Core    *node.Core
-	Servers *realserver.Fleet
+	Servers *backend.Fleet
 	Life    *node.Life
 	Room    *edge.Room
 	Bodies  *node.Shares
@@ -62,7 +62,7 @@
 
 func (noEntries) Watch() {}
 
-// Start wires a node to the given real servers.
+// Start wires a node to the given backends.
 func Start(t testing.TB, settings standpoint.Settings, entries ...node.Endpoint) *Node {
 	return StartLogged(t, zap.NewNop(), settings, entries...)
 }
@@ -72,7 +72,7 @@
 	return StartDialing(t, log, settings, nil, entries...)
 }
 
-// Dial opens a connection to a real server.
+// Dial opens a connection to a backend.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // StartHeld is Start with the clients' connections as accepted makes them.
@@ -130,14 +130,14 @@
 	return n, err
 }
 
-// StartDialing is StartLogged with connections to real servers as dial opens them; nil: as always.
+// StartDialing is StartLogged with connections to backends as dial opens them; nil: as always.
 func StartDialing(t testing.TB, log *zap.Logger, settings standpoint.Settings, dial Dial, entries ...node.Endpoint) *Node {
 	return start(t, log, settings, func(c net.Conn) net.Conn { return c }, dial, entries...)
 }
 
 func start(t testing.TB, log *zap.Logger, settings standpoint.Settings, accepted func(net.Conn) net.Conn, dial Dial, entries ...node.Endpoint) *Node {
-	fleet := realserver.New(realserver.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Dial: dial, Log: log,
-		Batch: realserver.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
+	fleet := backend.New(backend.Options{DialTimeout: 100 * time.Millisecond, ConnIdle: 15 * time.Second, MaxIdle: 10, Dial: dial, Log: log,
+		Batch: backend.BatchOptions{Gather: 30 * time.Millisecond, Lines: 50, Poll: 20 * time.Millisecond,
 			Lost: 500 * time.Millisecond}})
 	n := &Node{Servers: fleet, Life: &node.Life{}, t: t}
 	n.Figures = figures.New(Names.Classes, func() int { return n.Core.Open() })
@@ -214,7 +214,7 @@
 	return node.Endpoint{Address: address, Engine: standpoint.Engine{Name: name, Size: 1}}
 }
 
-// Server starts a scripted real server and returns its address.
+// Server starts a scripted backend and returns its address.
 func Server(t testing.TB, h http.HandlerFunc) string {
 	s := httptest.NewServer(h)
 	t.Cleanup(func() {
@@ -232,7 +232,7 @@
 	return l.Addr().String()
 }
 
-// RawServer starts a real server that answers each request by the script, which writes to the connection what it
+// RawServer starts a backend that answers each request by the script, which writes to the connection what it
 // will. The connection stays open.
 func RawServer(t testing.TB, script func(c net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
