--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	companyLook = 100 * time.Millisecond  // between two looks for another process of this node, and for what it was told
-	awaitList   = 1500 * time.Millisecond // for the first list, of a discovery that gives none
+	companyLook = 100 * time.Millisecond // between two looks for another process of this node, and for what it was told
+	awaitLook   = 10 * time.Millisecond
+	awaitList   = 1500 * time.Millisecond // for the first list, of a discovery that pushes and gives none
 	awaitMost   = 4 * time.Second         // likewise, while a call stands in its line or another process serves; a new one has 6 s to say that it does
 	recallTime  = 500 * time.Millisecond  // for what the other has learned
 	recallLook  = 10 * time.Millisecond
@@ -230,13 +231,14 @@
 
 // await waits, for a bounded time, for the first word of the list's source, before anybody is served: the list that this process was
 // started with is old, and servers may have been told to leave since. While another process of this node serves nobody waits for this
-// one; else a discovery that refuses, or cannot be reached, is waited for no longer than a call may take.
+// one. Else a discovery that refuses, or cannot be reached, is not waited for where lists are asked for: nothing stands in its line,
+// and the process has 6 s from its start to hear. A list that is pushed binds from its first moment.
 func (a *assembly) await(stop context.Context) {
 	if a.heard == nil {
 		return
 	}
 	began := time.Now()
-	tick := time.NewTicker(companyLook)
+	tick := time.NewTicker(awaitLook)
 	defer tick.Stop()
 	for {
 		select {
@@ -247,8 +249,9 @@
 		case <-tick.C:
 		}
 		waited := time.Since(began)
+		given := waited >= awaitList || len(a.platform.Known) > 0 && a.platform.Settings.AskDiscovery
 		alone := a.share == nil || a.share.Others() == 0
-		if waited >= awaitMost || waited >= awaitList && alone && a.failing() {
+		if waited >= awaitMost || given && alone && a.failing() {
 			return
 		}
 	}
