Discovery: the line is the fleet's; the watch at a discovery that was left goes on until the new one has told its list

With each call logged (trials): discovery opens 50 to 60 watches a second there, and 21 to 30 while it turns away 130 calls a second, each of which takes about 4 ms; calls stand in its line for up to 3.0 s, so that a patience of 2.9 s gave up and called again right before the answer, 30 times a second; the 242 nodes that SIGHUP moved left a watch that was heard, to stand in the new line for up to 16 s.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -101,6 +101,7 @@
 	if !cfg.Settings.AskDiscovery { // what comes back with discovery counts at once, and is to be heard well within the grace
 		watcher.Pushed = max(pushedLeast, time.Duration(cfg.Settings.DrainGrace)/2)
 	}
+	watcher.Nodes = cfg.Settings.Balancers
 	watcher.Knows(known)
 	watcher.Watch()   // at once: whatever else this process does first, its list is old
 	if a.others > 0 { // who serves meanwhile knows a newer one than what this process was started with
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -29,14 +29,14 @@
 	// What discovery has counts as told 6 s after it had it and could be reached, whatever call fell silent, failed or was given
 	// up meanwhile. A watch goes on as long as each call follows the answer before it, and costs discovery next to nothing then. To
 	// open one anew is work, for which the calls of all nodes stand in line. So a silent watch is found out soon, and the call that
-	// opens it anew keeps its place in the line: 1 s, a rest of 50 ms, 2.9 s, a rest of 100 ms, and there are 2 s for others, of
-	// which each is waited for for 1.2 s alone: the one before still stands there. Three in a row may fall silent: 5.7 s with rests.
+	// opens it anew keeps its place in the line: 1 s, a rest of 50 ms, 3.1 s, a rest of 100 ms, and there are 1.7 s for others, of
+	// which each is waited for for 1.1 s alone: the one before still stands there. Three in a row may fall silent: 5.7 s with rests.
 	watchWait  = 500 * time.Millisecond  // asked of discovery while all is well
 	watchSlack = 500 * time.Millisecond  // beyond that; without an answer by then the watch has fallen silent
 	openWait   = 100 * time.Millisecond  // of the call that opens a watch: its answer soon shows that it stands
-	openSlack  = 2800 * time.Millisecond // in the line; two such calls in a row may fall silent
-	againTime  = 1200 * time.Millisecond // of further calls, while the one before is still listened to
-	wholeTime  = 2900 * time.Millisecond // of a call for the whole list, which stands in the same line
+	openSlack  = 3 * time.Second         // in the line, where discovery itself may have calls stand for 3 s
+	againTime  = 1100 * time.Millisecond // of further calls, while the one before is still listened to
+	wholeTime  = 3100 * time.Millisecond // of a call for the whole list, which stands in the same line
 	anewTime   = 1500 * time.Millisecond // likewise of a process that takes over, which is one of a fleet and has 4 s for it
 	lateMost   = 5 * time.Second         // beyond all that, for which an answer is still taken: discovery may be slow, or this node be
 	callsMost  = 4                       // calls that are out at once
@@ -48,7 +48,12 @@
 	restLeast = 50 * time.Millisecond   // behind the first call that came to nothing; doubled each time
 	restMost  = 1500 * time.Millisecond // many nodes ask one discovery
 	moveMost  = 500 * time.Millisecond  // of a new discovery, which counts as heard 4 s after the move
-	busyMost  = 1400 * time.Millisecond // behind one that was refused: the line is full, and each further call is one more to turn away; four take 5.6 s
+
+	// Behind a call that was refused: the line is full, and each further call is one more to turn away, which takes the time of those
+	// that stand in it. Four refusals in a row take 5.6 s; the more nodes there are, the longer each rests, up to where the line runs dry.
+	busyLeast = 1400 * time.Millisecond
+	busyEach  = 10 * time.Millisecond // for each node
+	busyMost  = 2500 * time.Millisecond
 )
 
 // Names turns the list's words into the module's indexes.
@@ -163,6 +168,9 @@
 	// are asked for.
 	Pushed time.Duration
 
+	// Nodes, set before Run, is how many nodes ask this discovery; 0: nobody knows.
+	Nodes int
+
 	wait, slack time.Duration // watchWait and watchSlack, but in tests
 
 	failing atomic.Bool // the last call that is over was refused, or found nobody
@@ -171,6 +179,7 @@
 	at      place
 	http    *http.Client
 	order   *order
+	heard   bool       // something, since the start
 	stands  bool       // the watch: the call before was answered a moment ago
 	anew    bool       // the whole list is asked for, though the one that is held is this discovery's
 	silent  int        // calls in a row that were to open a watch, and fell silent
@@ -189,6 +198,8 @@
 // call is one call to discovery. It may be out for longer than it is waited for: whatever discovery writes counts as told, on a call
 // that this node has given up too.
 type call struct {
+	at     place
+	client *http.Client
 	line   int
 	after  int64
 	whole  bool
@@ -266,25 +277,37 @@
 
 // call makes a call. The next must follow within 200 ms of each answer, so nothing is done behind one but handing on the news.
 func (w *Watcher) call(ctx context.Context) *call {
-	w.limit(callsMost - 1)
-	c := &call{line: w.order.line, after: w.order.seq, opens: !w.stands, wait: w.wait,
+	c := &call{at: w.at, client: w.http, line: w.order.line, after: w.order.seq, opens: !w.stands, wait: w.wait,
 		whole: w.anew || w.order.unordered || w.order.released(time.Now())}
 	if c.opens {
 		c.wait = min(w.wait, openWait)
 	}
+	w.launch(ctx, c)
+	return c
+}
+
+// launch has a call go out. Its answer is a reply.
+func (w *Watcher) launch(ctx context.Context, c *call) {
+	w.limit(callsMost - 1)
 	out, cancel := context.WithTimeout(ctx, w.patience(c)+lateMost)
 	c.cancel = cancel
 	w.calls = append(w.calls, c)
-	at, client := w.at, w.http
 	go func() {
 		defer cancel()
-		r := w.ask(out, client, at, c)
+		r := w.ask(out, c)
 		select {
 		case w.replies <- r:
 		case <-ctx.Done():
 		}
 	}()
-	return c
+}
+
+// goOn has a watch at the discovery that was left go on, for as long as it is answered and the new one has told nothing: else
+// this node would hear of no departure while it stands in the new one's line.
+func (w *Watcher) goOn(ctx context.Context, r reply) {
+	if r.call.line < w.order.line && w.order.unordered && !r.call.whole {
+		w.launch(ctx, &call{at: r.call.at, client: r.call.client, line: r.call.line, after: r.seq, wait: w.wait})
+	}
 }
 
 // limit lets go of the oldest calls beyond so many.
@@ -309,7 +332,7 @@
 			w.move(to)
 			return
 		case r := <-w.replies:
-			heard := w.take(r)
+			heard := w.take(ctx, r)
 			if r.call != c {
 				if heard && c.opens { // the watch stands without it
 					c.cancel()
@@ -332,11 +355,12 @@
 }
 
 // take takes in what a call came to, and tells whether the list that is held is discovery's now.
-func (w *Watcher) take(r reply) (heard bool) {
+func (w *Watcher) take(ctx context.Context, r reply) (heard bool) {
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool { return c == r.call })
 	if r.err != nil {
 		return false
 	}
+	w.goOn(ctx, r)
 	l, told := w.order.take(answer{r.call.line, r.call.after, r.seq, r.list}, time.Now())
 	if told {
 		w.news(l)
@@ -346,7 +370,7 @@
 		return false
 	}
 	w.anew = w.anew && !whole
-	w.stands, w.silent, w.fails, w.busy = true, 0, 0, 0
+	w.heard, w.stands, w.silent, w.fails, w.busy = true, true, 0, 0, 0
 	w.failing.Store(false)
 	return true
 }
@@ -366,7 +390,8 @@
 	return c.wait + openSlack
 }
 
-// move changes to another discovery. The calls that are out at the one before end by themselves: what they bring counts as told.
+// move changes to another discovery. The calls that are out at the one before end by themselves, and a watch there goes on until the new
+// one has told its list: what they bring counts as told.
 func (w *Watcher) move(to place) {
 	w.log.Info("discovery moved", zap.String("to", to.base))
 	w.http = caller()
@@ -385,7 +410,7 @@
 	case w.busy > 0 && w.Pushed > 0:
 		most = moveMost
 	case w.busy > 0:
-		most = busyMost
+		most = w.busyRest()
 	case w.Pushed > 0:
 		most = min(most, w.Pushed)
 	case w.order.unordered:
@@ -397,6 +422,15 @@
 	w.sleep(ctx, most*3/4+rand.N(most/4))
 }
 
+// busyRest is for how long the node rests at the most behind a refusal. One that has heard nothing since its start is not held back for
+// the others.
+func (w *Watcher) busyRest() time.Duration {
+	if !w.heard {
+		return busyLeast
+	}
+	return min(busyMost, max(busyLeast, time.Duration(w.Nodes)*busyEach))
+}
+
 // sleep waits, but not for a move, nor behind an answer that comes late.
 func (w *Watcher) sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
@@ -411,7 +445,7 @@
 			w.move(to)
 			return
 		case r := <-w.replies:
-			if w.take(r) {
+			if w.take(ctx, r) {
 				return
 			}
 		}
@@ -426,17 +460,17 @@
 )
 
 // ask carries a call: for the whole list, or for what is newer than the version held, within the wait.
-func (w *Watcher) ask(ctx context.Context, client *http.Client, at place, c *call) reply {
-	target := at.base
+func (w *Watcher) ask(ctx context.Context, c *call) reply {
+	target := c.at.base
 	if !c.whole {
 		target += "?" + url.Values{"after": {strconv.FormatInt(c.after, 10)},
 			"wait_ms": {strconv.FormatInt(c.wait.Milliseconds(), 10)}}.Encode()
 	}
-	raw, err := fetch(ctx, client, target)
+	raw, err := fetch(ctx, c.client, target)
 	if err != nil {
 		return reply{call: c, err: err}
 	}
-	seq, l, faults, err := Decode(raw, at.names)
+	seq, l, faults, err := Decode(raw, c.at.names)
 	if len(faults) > 0 {
 		w.log.Warn("endpoints that cannot be used", zap.Errors("faults", faults))
 	}
