--- a/internal/cli/drain_test.go
+++ b/internal/cli/drain_test.go
@@ -300,3 +300,48 @@
 	f.second.Set("s6", "gone")
 	until(19500)
 }
+
+// A process that starts with an old list serves nobody before it has heard discovery, as long as its call stands in the line there: the
+// server that was told to drain meanwhile gets nothing.
+func TestAnOldListIsNotServedFrom(t *testing.T) {
+	t.Parallel()
+	const inLine = 800 * time.Millisecond
+	record := drain.NewRecord(t.Context().Done())
+	var hosts []drain.Host
+	for _, name := range []string{"leaves", "stays"} {
+		hosts = append(hosts, drain.Host{Host: name, Dial: drain.StartBackend(t, name, record), Site: "a", Class: "m", Health: "ready", Share: 1})
+	}
+	d := drain.NewDiscovery(t, record, 41, hosts)
+	d.Set("leaves", "draining")
+	d.Handle(drain.Line{Each: inLine, Most: 10})
+	l := &lone{listen: testpeer.FreeAddress(t), file: filepath.Join(t.TempDir(), "config.json"), said: &log{}}
+	known, err := json.Marshal(map[string]any{"seq": 41, "whole": true, "hosts": hosts})
+	require.NoError(t, err)
+	raw, err := json.Marshal(platformConfig(l.listen, d.Listen("n"), map[string]any{"known": json.RawMessage(known)}))
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(l.file, raw, 0o600))
+	l.Cmd = exec.Command(build(t))
+	l.Env = append(os.Environ(), "PROXY_CONFIG="+l.file, "TMPDIR="+t.TempDir())
+	l.Stderr = l.said
+	began := time.Now()
+	require.NoError(t, l.Start())
+	t.Cleanup(func() {
+		_ = l.Process.Kill()
+		_ = l.Wait()
+	})
+	require.Eventually(t, l.ready, 10*time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(began), inLine)
+	for number := range 20 {
+		response, err := http.DefaultClient.Do(testpeer.Ask(t, l.listen, drain.Trace("n", number), "1500m"))
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		response.Body.Close()
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	sends := record.Sends()
+	require.Len(t, sends, 20)
+	for _, s := range sends {
+		require.Equal(t, "stays", s.Server)
+	}
+}
