--- a/internal/backend/batchserver.go
+++ b/internal/backend/batchserver.go
@@ -63,7 +63,7 @@
 		p := &parcel{attempts: map[string]*node.Attempt{}}
 		p.cancel, p.stop = context.WithCancel(context.Background())
 		for _, a := range waiting {
-			p.attempts[a.Flow.Work.TraceID+"-"+strconv.Itoa(a.Leg)] = a
+			p.attempts[a.Request.Work.TraceID+"-"+strconv.Itoa(a.Leg)] = a
 		}
 		waiting = nil
 		s.out[p] = true
@@ -261,8 +261,8 @@
 	}
 	out := json.NewEncoder(part)
 	for id, a := range p.attempts {
-		if err := out.Encode(line{CustomID: id, Method: http.MethodPost, URL: a.Flow.Work.Target,
-			Body: a.Flow.Work.Body}); err != nil {
+		if err := out.Encode(line{CustomID: id, Method: http.MethodPost, URL: a.Request.Work.Target,
+			Body: a.Request.Work.Body}); err != nil {
 			return "", err
 		}
 	}
--- a/internal/backend/moving.go
+++ b/internal/backend/moving.go
@@ -132,7 +132,7 @@
 		return lost, err
 	}
 	defer unix.Close(client)
-	err = to(Stream{Trace: a.Flow.Work.TraceID, Class: a.Flow.Request.Class, Server: a.Server, Begun: p.buffer, Size: p.size, Kept: p.end.kept,
+	err = to(Stream{Trace: a.Request.Work.TraceID, Class: a.Request.Spec.Class, Server: a.Server, Begun: p.buffer, Size: p.size, Kept: p.end.kept,
 		Tokens: p.end.tokens, Report: p.end.report, Done: p.end.done, Held: p.held, Chunks: where}, client, server)
 	return node.Result{Code: standpoint.Cancelled, Moved: err == nil}, err
 }
--- a/internal/backend/pass.go
+++ b/internal/backend/pass.go
@@ -11,7 +11,7 @@
 	"standpoint/internal/node"
 )
 
-// stream passes an answer on, whole events at a time, as they come. The first claims the flow. What is no event
+// stream passes an answer on, whole events at a time, as they come. The first claims the request. What is no event
 // is not passed on, and the stream ends there, broken.
 func (s *server) stream(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response,
 	a *node.Attempt, l *link) (node.Result, error) {
@@ -107,7 +107,7 @@
 	}
 	if !c.begun {
 		if !c.attempt.First() {
-			return &outcome{node.Result{Code: failure(c.ctx, true, nil)}, errors.New("the flow is over")}
+			return &outcome{node.Result{Code: failure(c.ctx, true, nil)}, errors.New("the request is over")}
 		}
 		c.quiet.Stop()
 		c.begin()
@@ -160,7 +160,7 @@
 		return &outcome{node.Result{Code: standpoint.Cancelled, Report: c.end.report}, err}
 	case err != nil:
 		return &outcome{node.Result{Code: failure(c.ctx, true, c.link), Report: c.end.report}, err}
-	case len(c.buffer) > eventMost, c.size > streamMost, c.endless(c.attempt.Flow.Work.MaxTokens):
+	case len(c.buffer) > eventMost, c.size > streamMost, c.endless(c.attempt.Request.Work.MaxTokens):
 		return &outcome{node.Result{Code: standpoint.ServerError}, errors.New("the answer, or one event of it, does not end")}
 	}
 	return nil
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -117,7 +117,7 @@
 func (s *server) attempt(transport *http.Transport, address string, a *node.Attempt) {
 	result, err := s.try(transport, address, a)
 	if err != nil && result.Code != standpoint.Cancelled {
-		s.Log.Info("attempt failed", zap.String("server", s.name), zap.String("trace", a.Flow.Work.TraceID),
+		s.Log.Info("attempt failed", zap.String("server", s.name), zap.String("trace", a.Request.Work.TraceID),
 			zap.Int("leg", a.Leg), zap.Stringer("code", result.Code),
 			zap.Duration("after", time.Since(a.Sent)), zap.Error(err))
 	}
@@ -147,7 +147,7 @@
 			kept = info.Reused
 			expiresIn(request, a) // the connection may have come up late; the head is written behind this call
 			if l, ok := info.Conn.(*link); ok {
-				l.begin(len(a.Flow.Work.Body), a.MayBegin)
+				l.begin(len(a.Request.Work.Body), a.MayBegin)
 				used.Store(l)
 			}
 		}})
@@ -198,7 +198,7 @@
 }
 
 func newRequest(ctx context.Context, address string, a *node.Attempt) (*http.Request, error) {
-	work := &a.Flow.Work
+	work := &a.Request.Work
 	request, err := http.NewRequestWithContext(ctx, work.Method, "http://"+address+work.Target,
 		bytes.NewReader(work.Body))
 	if err != nil {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -360,10 +360,10 @@
 	trace := newID("")
 	answer := &collector{}
 	work := node.Work{Method: "POST", Target: l.task.URL, TraceID: trace, ContentType: "application/json", Body: body}
-	flow := node.NewFlow(q, work, answer)
+	flow := node.NewRequest(q, work, answer)
 	final, err := f.Core.Serve(flowCtx, flow)
 	if err != nil {
-		final = node.Answer{Kind: node.TurnedDown}
+		final = node.Answer{Kind: node.Rejected}
 	} else {
 		select { // only when no attempt is out any more may the line be sent again
 		case <-flow.Idle():
@@ -387,10 +387,10 @@
 		}
 		f.must(f.put(ctx, l, record{State: lineDone, Tries: l.record.Tries}, &Result{
 			ID: newID("batch_req_"), CustomID: l.task.CustomID, Response: &Response{200, trace, completion}}), l)
-	case node.TurnedDown: // a refusal costs none of the line's tries
+	case node.Rejected: // a refusal costs none of the line's tries
 		again(l.record.Tries-1, max(final.Wait, turnedWait))
 	default:
-		if l.record.Tries >= f.Tries || final.Kind == node.Rejected {
+		if l.record.Tries >= f.Tries || final.Kind == node.Invalid {
 			f.must(f.fail(ctx, l, "server_error"), l)
 		} else {
 			again(l.record.Tries, failedWait<<min(l.record.Tries, 5))
@@ -506,7 +506,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch k {
-	case node.TurnedDown:
+	case node.Rejected:
 		s.bound = max(1, s.bound/2)
 	case node.Served:
 		s.bound = min(float64(s.most), s.bound+1/s.bound)
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -148,7 +148,7 @@
 			return false
 		}
 		a.adopted.Go(func() {
-			defer server.Close() // where there is no place for the flow nobody carries it
+			defer server.Close() // where there is no place for the request nobody carries it
 			a.front.Adopt(ctx, client, s.Trace, m.Class, s.Held, func(attempt *node.Attempt) { a.fleet.Carry(s, server, attempt) })
 		})
 		return true
--- a/internal/daemon/movesparts.go
+++ b/internal/daemon/movesparts.go
@@ -21,7 +21,7 @@
 
 const awaitStore = 15 * time.Second // at the start, for a store that may know of a move
 
-// poolsPart divides flows among pools, where the file has any.
+// poolsPart divides requests among pools, where the file has any.
 func poolsPart(a *assembly) (part, error) {
 	if a.operator.PoolSet.Len() == 0 {
 		return part{}, nil
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -54,7 +54,7 @@
 	return part{name: "store", stop: keys.Close}, nil
 }
 
-// told is what both kinds of deployment say about flows.
+// told is what both kinds of deployment say about requests.
 func (d deployment) told() (standpoint.Settings, config.Names, int64) {
 	if d.platform != nil {
 		return d.platform.Settings, d.platform.Names, d.platform.Seed
@@ -118,7 +118,7 @@
 
 func corePart(a *assembly) (part, error) {
 	settings, _, seed := a.told()
-	o := node.Options{Settings: settings, Seed: seed, MaxFlows: a.limits.Flows(), Servers: a.fleet,
+	o := node.Options{Settings: settings, Seed: seed, MaxRequests: a.limits.Flows(), Servers: a.fleet,
 		Entries: a.source, Pools: a.pools, Figures: a.figures, Log: a.log}
 	if a.shared != nil {
 		o.Fleet = a.shared
--- a/internal/daemon/sharedpart.go
+++ b/internal/daemon/sharedpart.go
@@ -81,7 +81,7 @@
 	return part{name: "fleet", run: func(ctx context.Context) { f.Run(ctx) }, stop: f.Close}, nil
 }
 
-// countedMost is how many tokens a flow can be charged in a second, for the bounds of what is not heard.
+// countedMost is how many tokens a request can be charged in a second, for the bounds of what is not heard.
 const countedMost = 1000
 
 var _ node.Fleet = (*fleet.Fleet)(nil)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,4 +1,4 @@
-// Package edge is the platform's front: it turns HTTP requests into flows and passes their answers on.
+// Package edge is the platform's front: it turns HTTP requests into requests and passes their answers on.
 package edge
 
 import (
@@ -37,7 +37,7 @@
 	margin     = 10 * time.Millisecond // by which the answer comes before the client gives up
 	busyWait   = 500 * time.Millisecond
 	partTime   = 100 * time.Millisecond  // for what is still on its way of a request that is refused
-	awayTime   = 1900 * time.Millisecond // after staff sent clients away, from when those who come all the same are turned down
+	awayTime   = 1900 * time.Millisecond // after staff sent clients away, from when those who come all the same are rejected
 	chatTarget = "/v1/chat/completions"
 )
 
@@ -224,7 +224,7 @@
 	refuse(w, bad.status, bad.text)
 }
 
-// ended counts a request that is answered before it is a flow, where its class is known.
+// ended counts a request that is answered before it is a request, where its class is known.
 func (f *Front) ended(r *http.Request, e figures.End) {
 	if class, ok := f.indexes.Load().classes[r.Header.Get("X-Qos")]; ok {
 		f.Figures.Ended(class, e)
@@ -236,13 +236,13 @@
 	work.Method, work.Target = r.Method, r.URL.RequestURI()
 	work.TraceID, work.ContentType = r.Header.Get("X-Trace-Id"), r.Header.Get("Content-Type")
 	at, _ := r.Context().Value(clientConnKey{}).(*clientConn)
-	flow := node.NewFlow(request, work, &connection{w: w, control: control, conn: at, chunked: r.ProtoAtLeast(1, 1)})
+	flow := node.NewRequest(request, work, &connection{w: w, control: control, conn: at, chunked: r.ProtoAtLeast(1, 1)})
 	if answered := f.session(w, r, flow); answered {
 		return
 	}
 	answer, err := f.Core.Serve(r.Context(), flow)
 	if err != nil {
-		answer = node.Answer{Kind: node.TurnedDown, Wait: busyWait}
+		answer = node.Answer{Kind: node.Rejected, Wait: busyWait}
 	}
 	switch answer.Kind {
 	case node.Served:
@@ -250,9 +250,9 @@
 	case node.Moved:
 	case node.Broken, node.ClientGone:
 		panic(http.ErrAbortHandler) // the connection ends without the last chunk, or any answer: an empty one would be nobody's
-	case node.TurnedDown:
-		turnDown(w, answer.Wait)
 	case node.Rejected:
+		turnDown(w, answer.Wait)
+	case node.Invalid:
 		refuse(w, answer.Status, "a backend found the request itself wrong")
 	default:
 		refuse(w, http.StatusBadGateway, "failed")
@@ -470,7 +470,7 @@
 	return time.Duration(n) * unit, nil
 }
 
-// connection is the client connection of one flow.
+// connection is the client connection of one request.
 type connection struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -14,7 +14,7 @@
 )
 
 // Clients go on sending on every connection that stays open, up to the kill. What comes once all has been handed back is
-// turned down at once, on a kept connection too, and says when to come back; nothing of it is sent on.
+// rejected at once, on a kept connection too, and says when to come back; nothing of it is sent on.
 func TestRequestsAfterAllIsHandedBack(t *testing.T) {
 	sent := make(chan string, 10)
 	n := testpeer.Start(t, testpeer.Settings(), testpeer.Entry("s", testpeer.Server(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/edge/moving.go
+++ b/internal/edge/moving.go
@@ -63,7 +63,7 @@
 		cancel()
 	}()
 	c := &adopted{client, patience{held}}
-	answer, err := f.Core.Adopt(ctx, node.NewFlow(request, node.Work{TraceID: trace}, c), carry)
+	answer, err := f.Core.Adopt(ctx, node.NewRequest(request, node.Work{TraceID: trace}, c), carry)
 	if err != nil {
 		f.Log.Warn("a stream was not taken over", zap.String("trace", trace), zap.Error(err))
 		return
@@ -74,7 +74,7 @@
 	}
 }
 
-// adopted is the client connection of a flow whose answer another process has begun.
+// adopted is the client connection of a request whose answer another process has begun.
 type adopted struct {
 	conn net.Conn
 	patience
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -15,13 +15,13 @@
 	cancelKey = "X-Resume-Cancel"
 )
 
-// session makes of a flow one that goes on with a session, where the request names one, or has its answer looked at where it
+// session makes of a request one that goes on with a session, where the request names one, or has its answer looked at where it
 // names tools. True: the request has been answered.
-func (f *Front) session(w http.ResponseWriter, r *http.Request, flow *node.Flow) bool {
+func (f *Front) session(w http.ResponseWriter, r *http.Request, flow *node.Request) bool {
 	key := r.Header.Get(resumeKey)
 	switch {
 	case key == "" && f.Sessions != nil && f.Sessions.Looks(flow.Work.Body):
-		flow.Hook = f.Sessions.Hook(flow.Request, flow.Work.Body, flow.Server)
+		flow.Hook = f.Sessions.Hook(flow.Spec, flow.Work.Body, flow.Server)
 		return false
 	case key == "":
 		return false
@@ -39,14 +39,14 @@
 		w.WriteHeader(http.StatusNoContent)
 		return true
 	}
-	resumed, fault := f.Sessions.Resume(r.Context(), key, r.Header.Get("X-Trace-Id"), flow.Request.Tenant, flow.Work.Body)
+	resumed, fault := f.Sessions.Resume(r.Context(), key, r.Header.Get("X-Trace-Id"), flow.Spec.Tenant, flow.Work.Body)
 	if fault != nil {
 		f.fault(w, r, fault)
 		return true
 	}
 	q := resumed.Request
-	q.Expires = min(flow.Request.Expires, f.Core.ExpiresAt(resumed.Ends))
-	flow.Request, flow.Work.Body, flow.Fresh = q, resumed.Body, resumed.Fresh
+	q.Expires = min(flow.Spec.Expires, f.Core.ExpiresAt(resumed.Ends))
+	flow.Spec, flow.Work.Body, flow.Fresh = q, resumed.Body, resumed.Fresh
 	flow.Holder, flow.Start, flow.Holds = resumed.Server, resumed.Start, resumed.Held
 	flow.Hook = resumed.Hook(flow.Server, flow.BreakOff)
 	return false
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -295,7 +295,7 @@
 }
 
 // Before a node is killed, begun streams are handed back without the last chunk, so that their clients go on
-// elsewhere, and what still waits is turned down; where clients do not ask for the rest, streams run on.
+// elsewhere, and what still waits is rejected; where clients do not ask for the rest, streams run on.
 func TestHandBack(t *testing.T) {
 	for _, resume := range []bool{true, false} {
 		settings := testpeer.Settings()
@@ -459,7 +459,7 @@
 	require.Len(t, logs.FilterMessage("attempt failed").All(), 0)
 }
 
-// Bodies that are held while their requests wait are bounded by the node's memory: beyond that a request is turned down at
+// Bodies that are held while their requests wait are bounded by the node's memory: beyond that a request is rejected at
 // once and told when to come back. Bodies that are announced and do not come take nothing.
 func TestBodiesAreBounded(t *testing.T) {
 	came := make(chan struct{}, 3)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -1,5 +1,5 @@
-// Package node is the core: flows, attempts, outcomes and deadlines round the decision module. It knows no
-// wire. Fronts bring flows, backends' actors carry attempts, the actor of the endpoints brings
+// Package node is the core: requests, attempts, outcomes and deadlines round the decision module. It knows no
+// wire. Fronts bring requests, backends' actors carry attempts, the actor of the endpoints brings
 // the list; the module's actor is here, and it alone touches the module.
 package node
 
@@ -40,25 +40,25 @@
 // Entries is the actor of the endpoints. Watch must not block.
 type Entries interface{ Watch() }
 
-// Pools say where flows belong, and hear what came of them. The core calls them from the module's actor alone; no
+// Pools say where requests belong, and hear what came of them. The core calls them from the module's actor alone; no
 // call may wait.
 type Pools interface {
 	// Place says which pool an entry is in, from its labels: 0 for none.
 	Place(e *Endpoint) int
 	// Listed tells of the entries as the module has them now.
 	Listed(l List)
-	// Assign says to which pool a flow belongs: 0 for any.
+	// Assign says to which pool a request belongs: 0 for any.
 	Assign(r *standpoint.Request) int
 	// Sent tells of an attempt.
 	Sent(r *standpoint.Request, server string, leg int)
 	// Ended tells how an attempt ended.
 	Ended(o Observation)
-	// Refused tells that a flow was turned down or failed by the module.
+	// Refused tells that a request was rejected or failed by the module.
 	Refused(r *standpoint.Request)
 }
 
 // Fleet is what the nodes of an installation share, as the core needs it. Admit and Settle are called by whoever serves a
-// flow, the others by the module's actor; none may wait for a peer.
+// request, the others by the module's actor; none may wait for a peer.
 type Fleet interface {
 	// Admit takes what a request may cost at the most from the budgets that it counts against. False: there is not enough, and
 	// the client should come back after the wait.
@@ -88,14 +88,14 @@
 	Server  string
 	Sent    time.Time
 	Result  Result
-	First   time.Duration // from the flow's arrival to its first event; 0: there was none
+	First   time.Duration // from the request's arrival to its first event; 0: there was none
 	Own     time.Duration // likewise from the attempt's sending
 	Decode  time.Duration // from the first event to the last; 0: its client was slow to take it
 	Asked   bool          // given up by this node or its client: it says nothing of the server
 }
 
-// ErrBusy is returned for a flow beyond what the node, or the flow's tenant, may hold at once.
-var ErrBusy = errors.New("too many flows at once")
+// ErrBusy is returned for a request beyond what the node, or the request's tenant, may hold at once.
+var ErrBusy = errors.New("too many requests at once")
 
 // mailboxSize bounds the module's mailbox. Those who post wait for room; the module's actor itself only
 // ever hands on without waiting, so it always comes back to empty it.
@@ -110,45 +110,45 @@
 // censusEvery is the pause between two looks at how many backends the module avoids.
 const censusEvery = 100 * time.Millisecond
 
-// handBackWait is when a client should come again whose flow was handed back; by then it finds another node.
+// handBackWait is when a client should come again whose request was handed back; by then it finds another node.
 const handBackWait = 300 * time.Millisecond
 
 // Options are a core's settings and neighbours.
 type Options struct {
-	Settings standpoint.Settings
-	Seed     int64
-	MaxFlows int
-	Servers  Backends
-	Entries  Entries
-	Pools    Pools            // nil: none
-	Fleet    Fleet            // nil: this node shares nothing
-	Figures  *figures.Figures // nil: none
-	Log      *zap.Logger
+	Settings    standpoint.Settings
+	Seed        int64
+	MaxRequests int
+	Servers     Backends
+	Entries     Entries
+	Pools       Pools            // nil: none
+	Fleet       Fleet            // nil: this node shares nothing
+	Figures     *figures.Figures // nil: none
+	Log         *zap.Logger
 }
 
 // Core is the module's actor.
 type Core struct {
 	Options
-	router  *standpoint.Router
-	news    chan List // goes before the mailbox: a server's departure must not stand behind ordinary work
-	mail    chan any
-	stopped chan struct{}
-	flows   map[int64]*Flow
-	timers  timerHeap
-	thin    int // timers from which those are dropped that nothing waits for
-	actions []standpoint.Action
-	pending []standpoint.Event // events the core itself owes the module
-	nextID  int64
-	places  *Shares
-	start   time.Time
-	census  int64 // when the backends were last counted
-	leaving bool  // all has been handed back: what still comes is turned down at once
+	router   *standpoint.Router
+	news     chan List // goes before the mailbox: a server's departure must not stand behind ordinary work
+	mail     chan any
+	stopped  chan struct{}
+	requests map[int64]*Request
+	timers   timerHeap
+	thin     int // timers from which those are dropped that nothing waits for
+	actions  []standpoint.Action
+	pending  []standpoint.Event // events the core itself owes the module
+	nextID   int64
+	places   *Shares
+	start    time.Time
+	census   int64 // when the backends were last counted
+	leaving  bool  // all has been handed back: what still comes is rejected at once
 }
 
 // Messages of the mailbox.
 type (
 	adjusted struct{ settings standpoint.Settings }
-	adopted  struct{ f *Flow }
+	adopted  struct{ f *Request }
 	advised  struct{ a *standpoint.Advice }
 	learned  struct{ to chan<- *standpoint.Learned }
 	recalled struct {
@@ -156,8 +156,8 @@
 		done chan<- error
 	}
 	handBack   struct{ all bool }
-	taken      struct{ f *Flow }
-	left       struct{ f *Flow }
+	taken      struct{ f *Request }
+	left       struct{ f *Request }
 	firstEvent struct {
 		a       *Attempt
 		elapsed time.Duration
@@ -170,8 +170,8 @@
 )
 
 func (m ended) observation() Observation {
-	f := m.a.Flow
-	o := Observation{Request: &f.Request, Server: m.a.Server, Sent: m.a.Sent, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
+	f := m.a.Request
+	o := Observation{Request: &f.Spec, Server: m.a.Server, Sent: m.a.Sent, Result: m.r, Asked: m.r.Code == standpoint.Cancelled}
 	if m.a.first > 0 {
 		o.First, o.Own = m.a.Sent.Add(m.a.first).Sub(f.arrived), m.a.first
 		if m.r.Held == 0 {
@@ -184,8 +184,8 @@
 // New makes a core; Run starts it.
 func New(o Options) *Core {
 	c := &Core{Options: o, router: standpoint.New(o.Settings, o.Seed), news: make(chan List, newsMost),
-		mail: make(chan any, mailboxSize), stopped: make(chan struct{}), flows: map[int64]*Flow{}, start: time.Now()}
-	c.places = NewShares(o.MaxFlows, len(o.Settings.Tenants))
+		mail: make(chan any, mailboxSize), stopped: make(chan struct{}), requests: map[int64]*Request{}, start: time.Now()}
+	c.places = NewShares(o.MaxRequests, len(o.Settings.Tenants))
 	return c
 }
 
@@ -215,7 +215,7 @@
 	}
 }
 
-// Adjust takes on new settings. Flows that are open keep the deadlines that they came with.
+// Adjust takes on new settings. Requests that are open keep the deadlines that they came with.
 func (c *Core) Adjust(settings standpoint.Settings, maxFlows int) {
 	c.places.Set(maxFlows, len(settings.Tenants))
 	c.post(adjusted{settings})
@@ -249,19 +249,19 @@
 }
 
 // HandBack gives up what this node cannot bring to an end: begun streams, whose clients ask another node for the
-// rest, and, with all, flows that still wait, which are turned down, as is from then on whatever comes. Where clients do not ask
+// rest, and, with all, requests that still wait, which are rejected, as is from then on whatever comes. Where clients do not ask
 // for the rest, streams run on.
 func (c *Core) HandBack(all bool) { c.post(handBack{all}) }
 
 // Stopped is closed when the core has stopped.
 func (c *Core) Stopped() <-chan struct{} { return c.stopped }
 
-// Open is the number of flows that wait for their answer.
+// Open is the number of requests that wait for their answer.
 func (c *Core) Open() int { return c.places.Taken() }
 
-// Serve takes a flow on and returns its one final answer. When ctx ends, the client has gone. It is here that the end
-// of every flow is counted.
-func (c *Core) Serve(ctx context.Context, f *Flow) (Answer, error) {
+// Serve takes a request on and returns its one final answer. When ctx ends, the client has gone. It is here that the end
+// of every request is counted.
+func (c *Core) Serve(ctx context.Context, f *Request) (Answer, error) {
 	a, err := c.serve(ctx, f)
 	if f.Hook != nil {
 		f.Hook.Over(a)
@@ -270,28 +270,28 @@
 	return a, err
 }
 
-func (c *Core) count(f *Flow, a Answer, err error) {
+func (c *Core) count(f *Request, a Answer, err error) {
 	switch {
-	case err != nil || a.Kind == TurnedDown:
-		c.Figures.Ended(f.Request.Class, figures.Busy)
+	case err != nil || a.Kind == Rejected:
+		c.Figures.Ended(f.Spec.Class, figures.Busy)
 	case a.Kind == Served:
-		c.Figures.Ended(f.Request.Class, figures.Success)
+		c.Figures.Ended(f.Spec.Class, figures.Success)
 	case a.Kind != ClientGone && a.Kind != Moved: // one that moved ends, and is counted, elsewhere
 		if a.Unsent {
 			c.Figures.FailedUnsent(figures.GivenUp)
 		}
-		c.Figures.Ended(f.Request.Class, figures.Failure)
+		c.Figures.Ended(f.Spec.Class, figures.Failure)
 	}
 }
 
-// Adopt takes on a flow whose answer another process of this node has begun, and returns its end. carry carries it, as the
+// Adopt takes on a request whose answer another process of this node has begun, and returns its end. carry carries it, as the
 // one attempt that has claimed it; the module is not asked about it.
-func (c *Core) Adopt(ctx context.Context, f *Flow, carry func(*Attempt)) (Answer, error) {
-	if !c.places.Take(f.Request.Tenant, 1) {
+func (c *Core) Adopt(ctx context.Context, f *Request, carry func(*Attempt)) (Answer, error) {
+	if !c.places.Take(f.Spec.Tenant, 1) {
 		return Answer{}, ErrBusy
 	}
-	defer c.places.Give(f.Request.Tenant, 1)
-	a := &Attempt{Flow: f, Sent: time.Now(), post: c.post, out: true, timer: time.NewTimer(0)}
+	defer c.places.Give(f.Spec.Tenant, 1)
+	a := &Attempt{Request: f, Sent: time.Now(), post: c.post, out: true, timer: time.NewTimer(0)}
 	a.ctx, a.stop = context.WithCancelCause(context.Background())
 	f.claimed, f.attempts = a, []*Attempt{a}
 	c.post(adopted{f})
@@ -307,26 +307,26 @@
 	return answer, nil
 }
 
-func (c *Core) serve(ctx context.Context, f *Flow) (Answer, error) {
-	if !c.places.Take(f.Request.Tenant, 1) {
+func (c *Core) serve(ctx context.Context, f *Request) (Answer, error) {
+	if !c.places.Take(f.Spec.Tenant, 1) {
 		return Answer{}, ErrBusy
 	}
-	defer c.places.Give(f.Request.Tenant, 1)
+	defer c.places.Give(f.Spec.Tenant, 1)
 	if c.Fleet == nil {
 		return c.carry(ctx, f), nil
 	}
-	charge, wait, ok := c.Fleet.Admit(&f.Request)
+	charge, wait, ok := c.Fleet.Admit(&f.Spec)
 	if !ok {
-		return Answer{Kind: TurnedDown, Wait: wait, Unsent: true}, nil
+		return Answer{Kind: Rejected, Wait: wait, Unsent: true}, nil
 	}
 	charge.Fresh = f.Fresh
 	a := c.carry(ctx, f)
-	c.Fleet.Settle(&f.Request, charge, a)
+	c.Fleet.Settle(&f.Spec, charge, a)
 	return a, nil
 }
 
-// carry has the module's actor take the flow, and waits for its answer.
-func (c *Core) carry(ctx context.Context, f *Flow) Answer {
+// carry has the module's actor take the request, and waits for its answer.
+func (c *Core) carry(ctx context.Context, f *Request) Answer {
 	c.post(taken{f})
 	select {
 	case a := <-f.done:
@@ -408,8 +408,8 @@
 		c.router.Adjust(m.settings)
 	case adopted:
 		c.nextID++
-		m.f.Request.ID = c.nextID
-		c.flows[c.nextID] = m.f
+		m.f.Spec.ID = c.nextID
+		c.requests[c.nextID] = m.f
 		m.f.arrived = time.Now()
 		if c.leaving { // another process passed it on as this one gave back all that it has
 			c.giveBack(m.f, true)
@@ -422,34 +422,34 @@
 		m.done <- c.router.Recall(m.l, c.clock())
 	case handBack:
 		c.leaving = c.leaving || m.all
-		for _, f := range c.flows {
+		for _, f := range c.requests {
 			c.giveBack(f, m.all)
 		}
 	case taken:
 		// Clients go on sending on every connection that is open until the kill, which is near.
-		if c.leaving && m.f.settle(Answer{Kind: TurnedDown, Wait: handBackWait}) {
+		if c.leaving && m.f.settle(Answer{Kind: Rejected, Wait: handBackWait}) {
 			close(m.f.idle)
 			return
 		}
 		c.nextID++
-		m.f.Request.ID = c.nextID
-		c.flows[c.nextID] = m.f
+		m.f.Spec.ID = c.nextID
+		c.requests[c.nextID] = m.f
 		if c.Pools != nil {
-			m.f.Request.Pool = c.Pools.Assign(&m.f.Request)
+			m.f.Spec.Pool = c.Pools.Assign(&m.f.Spec)
 		}
 		m.f.arrived = time.Now()
 		if m.f.Holder != "" {
-			c.router.Holds(&m.f.Request, m.f.Holder, m.f.Start, m.f.Holds, c.clock())
+			c.router.Holds(&m.f.Spec, m.f.Holder, m.f.Start, m.f.Holds, c.clock())
 		}
-		request := m.f.Request
+		request := m.f.Spec
 		c.decide(&request)
 		c.forget(m.f)
 	case left:
-		c.decide(&standpoint.Left{Request: m.f.Request.ID})
+		c.decide(&standpoint.Left{Request: m.f.Spec.ID})
 		c.forget(m.f)
 	case firstEvent:
 		m.a.first = m.elapsed
-		c.decide(&standpoint.FirstToken{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg,
+		c.decide(&standpoint.FirstToken{Request: m.a.Request.Spec.ID, Attempt: m.a.Leg,
 			Elapsed: int64(m.elapsed)})
 	case ended:
 		m.a.out = false
@@ -459,25 +459,25 @@
 		if c.Fleet != nil {
 			c.Fleet.Ended(m.observation())
 		}
-		c.decide(&standpoint.Outcome{Request: m.a.Flow.Request.ID, Attempt: m.a.Leg, Last: m.a.Flow.isOver(),
+		c.decide(&standpoint.Outcome{Request: m.a.Request.Spec.ID, Attempt: m.a.Leg, Last: m.a.Request.isOver(),
 			Code: m.r.Code, Kept: m.r.Kept, Tokens: m.r.Tokens, Engine: m.a.Server, Elapsed: int64(m.elapsed), Held: m.r.Held > 0,
 			Report: m.r.Report})
-		c.forget(m.a.Flow)
+		c.forget(m.a.Request)
 	}
 }
 
-// giveBack ends a flow that this node cannot bring to an end: one that has begun, where its client asks another node for the rest,
+// giveBack ends a request that this node cannot bring to an end: one that has begun, where its client asks another node for the rest,
 // and, with all, one that waits. That trying again is harmless is said only where it is true: an attempt may have run.
-func (c *Core) giveBack(f *Flow, all bool) {
+func (c *Core) giveBack(f *Request, all bool) {
 	var answer *Answer
 	switch {
-	case all && c.router.MayShed(f.Request.ID):
-		answer = &Answer{Kind: TurnedDown, Wait: handBackWait, Unsent: len(f.attempts) == 0}
+	case all && c.router.MayShed(f.Spec.ID):
+		answer = &Answer{Kind: Rejected, Wait: handBackWait, Unsent: len(f.attempts) == 0}
 	case all:
 		answer = &Answer{Kind: Failed}
 	}
 	if f.handBack(answer, c.Settings.Resume) {
-		c.decide(&standpoint.Left{Request: f.Request.ID})
+		c.decide(&standpoint.Left{Request: f.Spec.ID})
 		c.forget(f)
 	}
 }
@@ -506,21 +506,21 @@
 	case standpoint.Subscribe:
 		c.Entries.Watch()
 	case standpoint.Send:
-		c.send(c.flows[a.Request], a)
+		c.send(c.requests[a.Request], a)
 	case standpoint.Cancel:
-		if f := c.flows[a.Request]; f != nil && a.Attempt < len(f.attempts) {
+		if f := c.requests[a.Request]; f != nil && a.Attempt < len(f.attempts) {
 			f.attempts[a.Attempt].giveUp(ErrCalledOff)
 		}
 	case standpoint.Shed, standpoint.Fail:
 		answer := Answer{Kind: Failed}
 		if a.Kind == standpoint.Shed {
-			answer = Answer{Kind: TurnedDown, Wait: time.Duration(a.Wait)}
+			answer = Answer{Kind: Rejected, Wait: time.Duration(a.Wait)}
 		}
-		if f := c.flows[a.Request]; f != nil {
+		if f := c.requests[a.Request]; f != nil {
 			answer.Unsent = len(f.attempts) == 0
 			// At once; one that an attempt claimed a moment ago goes on with its stream.
 			if f.settle(answer) && c.Pools != nil {
-				c.Pools.Refused(&f.Request)
+				c.Pools.Refused(&f.Spec)
 			}
 			c.forget(f)
 		}
@@ -529,13 +529,13 @@
 	}
 }
 
-// send starts an attempt. Whatever the module may think, a flow never has two attempts out, nor more than
+// send starts an attempt. Whatever the module may think, a request never has two attempts out, nor more than
 // MaxAttempts in all, and none once it is answered.
-func (c *Core) send(f *Flow, act standpoint.Action) {
+func (c *Core) send(f *Request, act standpoint.Action) {
 	if f == nil {
 		return
 	}
-	a := &Attempt{Flow: f, Leg: len(f.attempts), Server: act.Engine, Sent: time.Now(), Resumes: c.Settings.Resume, post: c.post}
+	a := &Attempt{Request: f, Leg: len(f.attempts), Server: act.Engine, Sent: time.Now(), Resumes: c.Settings.Resume, post: c.post}
 	a.Until = a.Sent.Add(time.Duration(act.Until - c.clock()))
 	if act.By != 0 {
 		a.By = a.Sent.Add(time.Duration(act.By - c.clock()))
@@ -551,7 +551,7 @@
 	a.out = true
 	if !refuse && c.Servers.Send(a) {
 		if c.Pools != nil {
-			c.Pools.Sent(&f.Request, act.Engine, a.Leg)
+			c.Pools.Sent(&f.Spec, act.Engine, a.Leg)
 		}
 		return
 	}
@@ -562,14 +562,14 @@
 		Code: standpoint.NotSent, Engine: act.Engine})
 }
 
-// attemptsSpent tells that the flow may have no further attempt.
-func (c *Core) attemptsSpent(f *Flow) bool {
+// attemptsSpent tells that the request may have no further attempt.
+func (c *Core) attemptsSpent(f *Request) bool {
 	return c.Settings.MaxAttempts > 0 && len(f.attempts) >= c.Settings.MaxAttempts
 }
 
-// forget drops a flow that is over once none of its attempts is out. Those that are have nobody to answer
+// forget drops a request that is over once none of its attempts is out. Those that are have nobody to answer
 // any more and are given up.
-func (c *Core) forget(f *Flow) {
+func (c *Core) forget(f *Request) {
 	if !f.isOver() {
 		return
 	}
@@ -580,8 +580,8 @@
 			a.giveUp(ErrCalledOff)
 		}
 	}
-	if !waits && c.flows[f.Request.ID] == f {
-		delete(c.flows, f.Request.ID)
+	if !waits && c.requests[f.Spec.ID] == f {
+		delete(c.requests, f.Spec.ID)
 		close(f.idle)
 	}
 }
--- a/internal/node/flow.go
+++ b/internal/node/request.go
@@ -9,15 +9,15 @@
 	"standpoint"
 )
 
-// Work is what a flow asks for, carried to a backend as it came. The core never looks inside.
+// Work is what a request asks for, carried to a backend as it came. The core never looks inside.
 type Work struct {
 	Method, Target, TraceID, ContentType string
 	Body                                 []byte
 	MaxTokens                            float64 // the most that the body allows for its answer; 0: it does not say
 }
 
-// ClientConnection is the client's side of a flow. Its methods are called by the attempt that claimed the
-// flow, one at a time, and never after the flow's answer is out.
+// ClientConnection is the client's side of a request. Its methods are called by the attempt that claimed the
+// request, one at a time, and never after the request's answer is out.
 type ClientConnection interface {
 	Begin() error         // the answer begins
 	Event(b []byte) error // whole events of the answer, to be passed on at once
@@ -33,14 +33,14 @@
 	Break             // nothing: the answer is broken off
 )
 
-// Hook looks at the answer of one flow as it is passed on. Event and Stopped are called by the attempt that has claimed the flow,
+// Hook looks at the answer of one request as it is passed on. Event and Stopped are called by the attempt that has claimed the request,
 // one at a time; Over once, behind all of them, by whoever serves it.
 type Hook interface {
 	// Event sees whole events; what it returns is passed on in their place.
 	Event(b []byte) (pass []byte, then Then)
 	// Stopped is called once the decoding has ended where Event had it stop; what it returns ends the answer.
 	Stopped() (last []byte, usage Usage)
-	// Over tells the flow's final answer.
+	// Over tells the request's final answer.
 	Over(a Answer)
 }
 
@@ -57,21 +57,21 @@
 	Gone() bool
 }
 
-// AnswerKind says how a flow ended for its client.
+// AnswerKind says how a request ended for its client.
 type AnswerKind uint8
 
 const (
 	Served     AnswerKind = iota // whole, passed on
 	Broken                       // begun and broken off
-	TurnedDown                   // refused: trying again is harmless
+	Rejected                     // refused: trying again is harmless
 	Failed                       // no promise is made of its effect
 	ClientGone                   // nobody is there to answer
 	Moved                        // begun, and left with its connection to another process of this node
-	Rejected                     // by a backend, for what the request itself is: no other would take it
+	Invalid                      // by a backend, for what the request itself is: no other would take it
 )
 
-// Answer is a flow's one final answer. Wait, if not 0, is when a client turned down should come back; Status is the
-// backend's, of one rejected. Unsent tells that no attempt was ever made.
+// Answer is a request's one final answer. Wait, if not 0, is when a rejected client should come back; Status is the
+// backend's, of an invalid one. Unsent tells that no attempt was ever made.
 type Answer struct {
 	Kind   AnswerKind
 	Wait   time.Duration
@@ -100,13 +100,13 @@
 var (
 	ErrLeaving = errors.New("the backend is to get nothing new")
 	ErrTooLate = errors.New("the time in which repeats are dropped is over")
-	ErrOver    = errors.New("the flow is over")
+	ErrOver    = errors.New("the request is over")
 )
 
-// Flow is one request taken on, which is owed one final answer.
-type Flow struct {
-	Request standpoint.Request
-	Work    Work
+// Request is one request taken on, which is owed one final answer.
+type Request struct {
+	Spec standpoint.Request
+	Work Work
 	// Hook, if not nil, looks at the answer.
 	Hook Hook
 	// Fresh, if not 0, are the tokens of the prompt that are charged: the others were, with an earlier part of the session.
@@ -127,18 +127,18 @@
 	attempts []*Attempt // the core's alone
 }
 
-// NewFlow makes a flow that is to be answered over edge.
-func NewFlow(request standpoint.Request, work Work, edge ClientConnection) *Flow {
-	return &Flow{Request: request, Work: work, edge: edge, done: make(chan Answer, 1),
+// NewRequest makes a request that is to be answered over edge.
+func NewRequest(request standpoint.Request, work Work, edge ClientConnection) *Request {
+	return &Request{Spec: request, Work: work, edge: edge, done: make(chan Answer, 1),
 		idle: make(chan struct{})}
 }
 
-// Idle is closed once the flow is over and none of its attempts is out any more. It tells a caller that may
+// Idle is closed once the request is over and none of its attempts is out any more. It tells a caller that may
 // ask for the same thing again that it cannot have two attempts out.
-func (f *Flow) Idle() <-chan struct{} { return f.idle }
+func (f *Request) Idle() <-chan struct{} { return f.idle }
 
-// settle decides the final answer unless it is decided, or an attempt has claimed the flow.
-func (f *Flow) settle(a Answer) bool {
+// settle decides the final answer unless it is decided, or an attempt has claimed the request.
+func (f *Request) settle(a Answer) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.over || f.claimed != nil {
@@ -149,14 +149,14 @@
 	return true
 }
 
-func (f *Flow) isOver() bool {
+func (f *Request) isOver() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.over
 }
 
-// leave is called when the client has gone. A claimed flow's attempt is stopped; its end settles the flow.
-func (f *Flow) leave() bool {
+// leave is called when the client has gone. A claimed request's attempt is stopped; its end settles the request.
+func (f *Request) leave() bool {
 	if f.settle(Answer{Kind: ClientGone}) {
 		return true
 	}
@@ -164,8 +164,8 @@
 	return false
 }
 
-// clientGone asks whether the client has left, and settles the flow if so.
-func (f *Flow) clientGone() bool {
+// clientGone asks whether the client has left, and settles the request if so.
+func (f *Request) clientGone() bool {
 	client, ok := f.edge.(Leaver)
 	if !ok || !client.Gone() {
 		return false
@@ -174,9 +174,9 @@
 	return true
 }
 
-// breakOff stops the attempt that has claimed the flow, if one has. One that is handed back first takes what its server
+// breakOff stops the attempt that has claimed the request, if one has. One that is handed back first takes what its server
 // has sent already: that may be the end of its stream.
-func (f *Flow) breakOff(why error) {
+func (f *Request) breakOff(why error) {
 	f.mu.Lock()
 	a := f.claimed
 	f.mu.Unlock()
@@ -185,10 +185,10 @@
 	}
 }
 
-// handBack settles the flow with an answer, if there is one, or, where begun is set, breaks off the attempt that has claimed it.
-// Which of the two is decided in one step: an attempt that claims the flow meanwhile came before, and is broken off, or comes
-// behind, and finds the flow over. It returns whether the flow was settled.
-func (f *Flow) handBack(answer *Answer, begun bool) (settled bool) {
+// handBack settles the request with an answer, if there is one, or, where begun is set, breaks off the attempt that has claimed it.
+// Which of the two is decided in one step: an attempt that claims the request meanwhile came before, and is broken off, or comes
+// behind, and finds the request over. It returns whether the request was settled.
+func (f *Request) handBack(answer *Answer, begun bool) (settled bool) {
 	f.mu.Lock()
 	a := f.claimed
 	if a == nil && answer != nil && !f.over {
@@ -202,13 +202,13 @@
 	return settled
 }
 
-// Attempt is one try of a flow at a backend. A backend's actor calls Context, First, Event and End.
+// Attempt is one try of a request at a backend. A backend's actor calls Context, First, Event and End.
 type Attempt struct {
-	Flow   *Flow
-	Leg    int
-	Server string
-	Until  time.Time
-	Sent   time.Time
+	Request *Request
+	Leg     int
+	Server  string
+	Until   time.Time
+	Sent    time.Time
 	// By is the moment from which the attempt may not begin any more; zero: none.
 	By time.Time
 	// Barred, if not nil, tells that its server may get nothing new. The actors of the backends set it before the attempt
@@ -223,14 +223,14 @@
 	post  func(any)
 	out   bool          // the core's alone: no outcome yet
 	first time.Duration // likewise: from the sending to the first event; 0: none yet
-	given bool          // under the flow's lock: given up
+	given bool          // under the request's lock: given up
 	leave func() bool   // likewise: ends the stream once what has come of it is passed on; nil: by its context alone
 }
 
 func (a *Attempt) breakOff(why error) {
-	a.Flow.mu.Lock()
+	a.Request.mu.Lock()
 	leave := a.leave
-	a.Flow.mu.Unlock()
+	a.Request.mu.Unlock()
 	if !errors.Is(why, ErrHandedBack) || leave == nil || !leave() {
 		a.stop(why)
 	}
@@ -239,8 +239,8 @@
 // OnHandBack sets what has the attempt's stream end, once it is handed back, behind all that its server has sent by then.
 // leave must not wait; false: it cannot, and the attempt's context ends.
 func (a *Attempt) OnHandBack(leave func() bool) {
-	a.Flow.mu.Lock()
-	defer a.Flow.mu.Unlock()
+	a.Request.mu.Lock()
+	defer a.Request.mu.Unlock()
 	a.leave = leave
 }
 
@@ -256,7 +256,7 @@
 	// Held is for how long in all the client kept the stream waiting; 0: it took events as they came.
 	Held time.Duration
 	// Rejected, if not 0, is the status by which the server found the request itself wrong. It speaks against the
-	// request alone, whatever the code, and is the flow's answer.
+	// request alone, whatever the code, and is the request's answer.
 	Rejected int
 	// Moved tells that another process goes on with the stream.
 	Moved bool
@@ -270,11 +270,11 @@
 	switch {
 	case a.ctx.Err() != nil:
 		return context.Cause(a.ctx)
-	case a.Flow.isOver():
+	case a.Request.isOver():
 		return ErrOver
 	case a.Barred != nil && a.Barred():
 		return ErrLeaving
-	case a.Flow.clientGone():
+	case a.Request.clientGone():
 		return ErrClientGone
 	case !a.By.IsZero() && !time.Now().Before(a.By):
 		return ErrTooLate
@@ -285,22 +285,22 @@
 // Context ends when the attempt is given up; its cause is one of the reasons above.
 func (a *Attempt) Context() context.Context { return a.ctx }
 
-// giveUp stops waiting. It does nothing to an attempt that has claimed its flow: from the first event on
+// giveUp stops waiting. It does nothing to an attempt that has claimed its request: from the first event on
 // the answer belongs to the client and no deadline runs.
 func (a *Attempt) giveUp(why error) {
-	a.Flow.mu.Lock()
-	claimed := a.Flow.claimed == a
+	a.Request.mu.Lock()
+	claimed := a.Request.claimed == a
 	a.given = a.given || !claimed
-	a.Flow.mu.Unlock()
+	a.Request.mu.Unlock()
 	if !claimed {
 		a.stop(why)
 	}
 }
 
-// First claims the flow for this attempt at its first event. False: the flow is over or the attempt was
+// First claims the request for this attempt at its first event. False: the request is over or the attempt was
 // given up, and nothing of it may reach the client.
 func (a *Attempt) First() bool {
-	f := a.Flow
+	f := a.Request
 	f.mu.Lock()
 	ok := !f.over && f.claimed == nil && !a.given
 	if ok {
@@ -315,9 +315,9 @@
 	return f.edge.Begin() == nil
 }
 
-// Event passes whole events on to the client, as the flow's hook has it.
+// Event passes whole events on to the client, as the request's hook has it.
 func (a *Attempt) Event(b []byte) error {
-	f := a.Flow
+	f := a.Request
 	if f.Hook == nil {
 		return f.edge.Event(b)
 	}
@@ -339,18 +339,18 @@
 // Stopped passes on what ends an answer whose decoding has ended where its hook had it stop. It is called once nothing of the
 // attempt is out any more.
 func (a *Attempt) Stopped() Result {
-	last, usage := a.Flow.Hook.Stopped()
-	if err := a.Flow.edge.Event(last); err != nil {
+	last, usage := a.Request.Hook.Stopped()
+	if err := a.Request.edge.Event(last); err != nil {
 		return Result{Code: standpoint.Cancelled}
 	}
 	return Result{Code: standpoint.Cancelled, Whole: true, Tokens: usage.Out}
 }
 
 // BreakOff ends the answer where it stands, if something of it has been passed on.
-func (f *Flow) BreakOff() { f.breakOff(ErrHandedBack) }
+func (f *Request) BreakOff() { f.breakOff(ErrHandedBack) }
 
 // Server is the backend whose answer is passed on; "" before any is.
-func (f *Flow) Server() string {
+func (f *Request) Server() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.claimed == nil {
@@ -367,18 +367,18 @@
 
 // Detach takes the client's connection out of this process's hands, where it can be.
 func (a *Attempt) Detach() (int, error) {
-	if d, ok := a.Flow.edge.(Detacher); ok {
+	if d, ok := a.Request.edge.(Detacher); ok {
 		return d.Detach()
 	}
 	return 0, errors.New("a client whose connection cannot move")
 }
 
-// End tells how the attempt ended. Where it had claimed the flow, that is the flow's final answer too.
+// End tells how the attempt ended. Where it had claimed the request, that is the request's final answer too.
 // It is called last, when nothing of the attempt is out on an open connection any more.
 func (a *Attempt) End(r Result) {
 	a.timer.Stop()
 	a.stop(nil)
-	f := a.Flow
+	f := a.Request
 	f.mu.Lock()
 	if f.claimed == a && !f.over {
 		f.over = true
@@ -393,7 +393,7 @@
 	}
 	if r.Rejected != 0 && f.claimed == nil && !f.over {
 		f.over = true
-		f.done <- Answer{Kind: Rejected, Status: r.Rejected}
+		f.done <- Answer{Kind: Invalid, Status: r.Rejected}
 	}
 	f.mu.Unlock()
 	a.post(ended{a, r, time.Since(a.Sent)})
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// Shares bound what flows take of something that this node has so much of: places, or bytes of bodies. Where there are
+// Shares bound what requests take of something that this node has so much of: places, or bytes of bodies. Where there are
 // several tenants none has more than half, so that one that holds what it has cannot shut the others out.
 type Shares struct {
 	mu       sync.Mutex
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -142,7 +142,7 @@
 	n := &Node{Servers: fleet, Life: &node.Life{}, t: t}
 	n.Figures = figures.New(Names.Classes, func() int { return n.Core.Open() })
 	fleet.Wrote = n.Figures.Wrote
-	n.Core = node.New(node.Options{Settings: settings, Seed: 1, MaxFlows: 300, Servers: fleet, Entries: noEntries{}, Figures: n.Figures, Log: log})
+	n.Core = node.New(node.Options{Settings: settings, Seed: 1, MaxRequests: 300, Servers: fleet, Entries: noEntries{}, Figures: n.Figures, Log: log})
 	n.Tell(entries...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.Core.Run(ctx)
