--- a/internal/backend/batchdrain_test.go
+++ b/internal/backend/batchdrain_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/node"
 	"standpoint/internal/testpeer"
 )
 
@@ -31,8 +32,21 @@
 
 const leaver = "feedfeedfeedfeed" // the id of a request whose client leaves
 
-func newFileServer() *fileServer {
-	return &fileServer{uploads: make(chan struct{}, 10), let: make(chan struct{}, 10)}
+func startFileServer(t *testing.T) (*fileServer, node.Endpoint) {
+	f := &fileServer{uploads: make(chan struct{}, 10), let: make(chan struct{}, 10)}
+	entry := testpeer.Entry("files", testpeer.Server(t, f.ServeHTTP))
+	entry.Batch = true
+	return f, entry
+}
+
+// ask has a client ask a node, and gives the status of its answer.
+func ask(t *testing.T, n *testpeer.Node) <-chan int {
+	over := make(chan int, 1)
+	go func() {
+		status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
+		over <- status
+	}()
+	return over
 }
 
 func (f *fileServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -62,15 +76,9 @@
 // A server that takes files is told to drain while a file is uploaded to it: no batch is made of that file.
 func TestNoBatchIsMadeBehindADrain(t *testing.T) {
 	t.Parallel()
-	f := newFileServer()
-	entry := testpeer.Entry("files", testpeer.Server(t, f.ServeHTTP))
-	entry.Batch = true
+	f, entry := startFileServer(t)
 	n := testpeer.Start(t, testpeer.Settings(), entry)
-	over := make(chan int, 1)
-	go func() {
-		status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
-		over <- status
-	}()
+	over := ask(t, n)
 	<-f.uploads
 	entry.State = standpoint.Draining
 	n.Tell(entry)
@@ -83,16 +91,10 @@
 // It is told to while the connection for the upload comes up: nothing is uploaded.
 func TestNoFileIsSentBehindADrain(t *testing.T) {
 	t.Parallel()
-	f := newFileServer()
-	entry := testpeer.Entry("files", testpeer.Server(t, f.ServeHTTP))
-	entry.Batch = true
+	f, entry := startFileServer(t)
 	held := testpeer.HoldDials(1)
 	n := testpeer.StartDialing(t, zap.NewNop(), testpeer.Settings(), held.Dial, entry)
-	over := make(chan int, 1)
-	go func() {
-		status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
-		over <- status
-	}()
+	over := ask(t, n)
 	<-held.Up
 	entry.State = standpoint.Draining
 	n.Tell(entry)
@@ -105,12 +107,10 @@
 // A client leaves while its file is uploaded: no batch is made for it. Another's, in the same file, is uploaded once more without it.
 func TestNoBatchIsMadeForClientsThatLeft(t *testing.T) {
 	t.Parallel()
-	f := newFileServer()
-	entry := testpeer.Entry("files", testpeer.Server(t, f.ServeHTTP))
-	entry.Batch = true
+	f, entry := startFileServer(t)
 	n := testpeer.Start(t, testpeer.Settings(), entry)
 	leaving, leave := context.WithCancel(t.Context())
-	left, over := make(chan error, 1), make(chan int, 1)
+	left := make(chan error, 1)
 	go func() {
 		response, err := http.DefaultClient.Do(n.Chat(leaving, func(r *http.Request) { r.Header.Set("X-Trace-Id", leaver) }))
 		if err == nil {
@@ -118,10 +118,7 @@
 		}
 		left <- err
 	}()
-	go func() {
-		status, _, _, _ := n.Do(n.Chat(t.Context(), nil))
-		over <- status
-	}()
+	over := ask(t, n)
 	<-f.uploads
 	leave()
 	require.Error(t, <-left)
--- a/internal/entries/written_test.go
+++ b/internal/entries/written_test.go
@@ -23,6 +23,17 @@
 	"standpoint/internal/testpeer/drain"
 )
 
+// watching starts a watcher of a discovery.
+func watching(t *testing.T, discovery *httptest.Server) (*Watcher, chan node.List) {
+	news := make(chan node.List, 100)
+	w := NewWatcher(strings.TrimPrefix(discovery.URL, "http://"), names, 41, func(l node.List) { news <- l }, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go w.Run(ctx)
+	w.Watch()
+	return w, news
+}
+
 // What a discovery writes as the node moves to another counts as told, and the other's list, which does not know of it yet, does not
 // take it back.
 func TestWrittenAsTheNodeMoves(t *testing.T) {
@@ -44,12 +55,7 @@
 		fmt.Fprint(w, `{"seq":7,"whole":true,"hosts":[{"host":"s","dial":"127.0.0.1:1","health":"ready"},{"host":"t","dial":"127.0.0.1:2","health":"ready"}]}`)
 	}))
 	t.Cleanup(func() { next.CloseClientConnections(); next.Close() })
-	news := make(chan node.List, 10)
-	w := NewWatcher(strings.TrimPrefix(old.URL, "http://"), names, 41, func(l node.List) { news <- l }, zap.NewNop())
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go w.Run(ctx)
-	w.Watch()
+	w, news := watching(t, old)
 	<-asked
 	w.Move(strings.TrimPrefix(next.URL, "http://"), names)
 	require.Eventually(t, func() bool { return len(w.moves) == 0 }, 5*time.Second, time.Millisecond)
@@ -89,12 +95,7 @@
 		}
 	}))
 	t.Cleanup(func() { next.CloseClientConnections(); next.Close() })
-	news := make(chan node.List, 100)
-	w := NewWatcher(strings.TrimPrefix(old.URL, "http://"), names, 41, func(l node.List) { news <- l }, zap.NewNop())
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go w.Run(ctx)
-	w.Watch()
+	w, news := watching(t, old)
 	<-asked
 	w.Move(strings.TrimPrefix(next.URL, "http://"), names)
 	for states := map[string]standpoint.State{}; states["s"] != standpoint.Draining; states = statesOf(<-news) {
