The clients' socket opens once the process serves: nobody waits in it for the first list

At fault: daemon.Run bound before a.await. Where lists are pushed the wait of 1.5 s had this before, too.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -78,9 +79,11 @@
 		}
 	}()
 	confine(a.limits)
-	listener, err := a.listener()
-	if err != nil {
-		return err
+	var listener net.Listener
+	if a.inherits() { // another process may serve at it meanwhile
+		if listener, err = a.listener(); err != nil {
+			return err
+		}
 	}
 	actors, end := context.WithCancel(context.Background())
 	defer end()
@@ -96,6 +99,11 @@
 	}
 	a.await(stop)
 	a.recall(stop, began)
+	if listener == nil { // not before: what connects to a process that does not serve yet would wait in the socket, up to its deadline
+		if listener, err = a.listener(); err != nil {
+			return err
+		}
+	}
 	room := edge.NewRoom(listener, a.now.limits.ClientConnections(), log)
 	room.Figures = a.figures
 	server := edge.NewServer(a.handler(), room, log)
