--- a/review/kit/case.go
+++ b/review/kit/case.go
@@ -32,8 +32,9 @@
 	Dir     string // temporary folder of this run
 	Trouble bool   // whether the disruption is made
 
-	began  time.Time
-	record *os.File
+	began       time.Time
+	record      *os.File
+	lastCommand string // the last command in the record, with what it printed
 
 	mu        sync.Mutex // guards the fields below
 	closers   []func()
--- a/review/kit/process.go
+++ b/review/kit/process.go
@@ -138,7 +138,10 @@
 	command.Dir = c.Dir
 	out, err := command.CombinedOutput()
 	text := strings.TrimSpace(string(out))
-	c.Note("standpoint %s:\n%s", strings.Join(args, " "), indent(text))
+	if shown := strings.Join(args, " ") + text; shown != c.lastCommand { // the same answer once more is left out
+		c.lastCommand = shown
+		c.Note("standpoint %s:\n%s", strings.Join(args, " "), indent(text))
+	}
 	if err != nil {
 		return text, fmt.Errorf("standpoint %s: %w: %s", args[0], err, text)
 	}
