--- a/review/kit/process.go
+++ b/review/kit/process.go
@@ -21,6 +21,7 @@
 	c       *Case
 	command string
 	env     []string
+	files   []*os.File // passed on as descriptors from 3 on
 	running *exec.Cmd
 	exited  chan struct{} // closed when the process has ended
 }
@@ -66,6 +67,7 @@
 	command := exec.Command("/bin/sh", "-c", p.command)
 	command.Dir = p.c.Root
 	command.Env = p.env
+	command.ExtraFiles = p.files
 	command.Stdout = log
 	command.Stderr = log
 	p.c.Must(command.Start())
