--- a/review/kit/batchclient.go
+++ b/review/kit/batchclient.go
@@ -126,3 +126,47 @@
 	}
 	return found
 }
+
+// Upload uploads a file and returns its ID.
+func (b *BatchClient) Upload(file []byte) string {
+	var form bytes.Buffer
+	writer := multipart.NewWriter(&form)
+	b.c.Must(writer.WriteField("purpose", "batch"))
+	part, err := writer.CreateFormFile("file", "sheets.jsonl")
+	b.c.Must(err)
+	_, err = part.Write(file)
+	b.c.Must(err)
+	b.c.Must(writer.Close())
+	raw, err := b.do(http.MethodPost, "/v1/files", writer.FormDataContentType(), form.Bytes())
+	b.c.Must(err)
+	var uploaded struct {
+		ID string `json:"id"`
+	}
+	b.c.Must(json.Unmarshal(raw, &uploaded))
+	b.c.Note("client: file %s of %d bytes accepted", uploaded.ID, len(file))
+	return uploaded.ID
+}
+
+// TryCreate asks for a batch of a file once, and returns its state or the status and the Retry-After of a refusal. It
+// follows redirects to the leader.
+func (b *BatchClient) TryCreate(file string) (state BatchState, status int, retryAfter string, err error) {
+	body := fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h"}`, file)
+	request, err := http.NewRequest(http.MethodPost, "http://"+b.Node+"/v1/batches", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return state, 0, "", err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return state, 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode == http.StatusOK {
+		err = json.Unmarshal(raw, &state)
+	}
+	b.c.Note("client: POST /v1/batches at %s: %d, Retry-After %q, %s",
+		b.Node, response.StatusCode, response.Header.Get("Retry-After"), bytes.TrimSpace(raw))
+	return state, response.StatusCode, response.Header.Get("Retry-After"), err
+}
--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -101,9 +101,9 @@
 			return known.address
 		}
 	}
-	added := &relay{from: from, to: to, address: f.c.Addresses(1)[0], target: address}
+	added := &relay{from: from, to: to, address: f.c.Addresses(1)[0], target: address, packets: packets}
 	f.relays = append(f.relays, added)
-	f.c.Must(added.start(f.c, packets))
+	f.c.Must(added.start(f.c))
 	return added.address
 }
 
@@ -148,16 +148,38 @@
 	}
 }
 
+// HoldAnswers has the answers that other nodes give to a node's messages between store members held up, or ends that.
+// What the node sends still arrives.
+func (f *Fleet) HoldAnswers(node int, hold bool) {
+	f.c.Note("answers of the other nodes to %s do not arrive: %v", f.Name(node), hold)
+	for _, r := range f.relays {
+		if r.from == node && !r.packets {
+			r.mu.Lock()
+			r.mute = hold
+			r.mu.Unlock()
+		}
+	}
+}
+
 // relay passes on what one node sends to an address of another.
 type relay struct {
 	from, to        int
 	address, target string
+	packets         bool // carries datagrams, too
 
 	mu     sync.Mutex
 	cut    bool
+	mute   bool          // nothing that the other node answers is passed on for now
 	healed chan struct{} // closed as a cut ends
 }
 
+// isMute reports whether answers are held up.
+func (r *relay) isMute() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mute
+}
+
 func (r *relay) setCut(cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -187,7 +209,7 @@
 	return r.cut
 }
 
-func (r *relay) start(c *Case, packets bool) error {
+func (r *relay) start(c *Case) error {
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return err
@@ -202,7 +224,7 @@
 			go r.carry(conn)
 		}
 	}()
-	if !packets {
+	if !r.packets {
 		return nil
 	}
 	socket, err := net.ListenPacket("udp", r.address)
@@ -244,6 +266,9 @@
 		for {
 			n, err := from.Read(buffer)
 			r.await()
+			for from == far && r.isMute() {
+				time.Sleep(10 * time.Millisecond)
+			}
 			if n > 0 {
 				if _, failed := to.Write(buffer[:n]); failed != nil {
 					err = failed
