--- a/review/kit/batchclient.go
+++ b/review/kit/batchclient.go
@@ -54,9 +54,13 @@
 	return raw, err
 }
 
-// Submit uploads a file and makes a batch of it.
-func (b *BatchClient) Submit(file []byte) BatchState {
-	request := fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h"}`, b.Upload(file))
+// Submit uploads a file and makes a batch of it that has to be over within a day.
+func (b *BatchClient) Submit(file []byte) BatchState { return b.SubmitWithin(file, "24h") }
+
+// SubmitWithin uploads a file and makes a batch of it with a completion window.
+func (b *BatchClient) SubmitWithin(file []byte, window string) BatchState {
+	request := fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":%q}`,
+		b.Upload(file), window)
 	raw, err := b.do(http.MethodPost, "/v1/batches", "application/json", []byte(request))
 	b.c.Must(err)
 	var state BatchState
