Batch servers: a batch whose creation got no response is looked for, not repeated

Cause: runFile read a call without a response as the end of all attempts (ConnectionLost), and the decision module repeated them. A server that takes files goes on all the same. A response that could not be read, or one with status 500, even counted as "never ran".

Evidence: the record shows one creation of each file, repeats 0.2 s after the reset and no call to cancel, so neither a repeated call nor a passed deadline is the cause.

Change: each call's error says whether the call may have taken effect. After such a creation the batch is looked for in the server's list by its input file; if it is not there, the input file is deleted and the list read again, so that none can be created any more. Without certainty the attempts are unresolved (node.Result.Unresolved): the request fails, no other attempt follows, and a line gets a server_error that says so. The log names file and batch. The counter of attempts no longer counts the calls of uploads and creations.

Tests, on the code before: TestUncertainCreationOfBatch (lost, error, unreadable) and TestUncertainCreationAtServerWithoutList failed with "expected 1, actual 2: no line may have two attempts in flight".

--- a/internal/backend/batch_file.go
+++ b/internal/backend/batch_file.go
@@ -11,8 +11,6 @@
 	"slices"
 	"strconv"
 
-	"go.uber.org/zap"
-
 	"standpoint"
 	"standpoint/internal/node"
 )
@@ -20,6 +18,8 @@
 // batchFile is a file of attempts. Except for cancel, only the goroutine of runFile may use it.
 type batchFile struct {
 	attempts map[string]*node.Attempt // attempts without a result, by custom_id
+	id       string                   // of the latest upload; empty before it
+	batchID  string                   // of the batch created of it; empty before it
 	ctx      context.Context          // ends when the batch is to be cancelled
 	cancel   context.CancelFunc
 }
@@ -87,21 +87,21 @@
 	var uploaded struct {
 		ID string `json:"id"`
 	}
-	_, err = b.do(
-		file.mayBegin(),
-		http.MethodPost,
-		base+"/v1/files",
-		form.FormDataContentType(),
-		body.Bytes(),
-		&uploaded,
-	)
+	err = b.do(batchCall{
+		method:      http.MethodPost,
+		url:         base + "/v1/files",
+		contentType: form.FormDataContentType(),
+		body:        body.Bytes(),
+		mayBegin:    file.mayBegin(),
+		receive:     &uploaded,
+	})
 	return uploaded.ID, err
 }
 
 // joinResults finishes the attempts whose results are in the output or error file with the given ID.
 func (b *batchBackend) joinResults(base, id string, file *batchFile) error {
 	var raw []byte
-	if _, err := b.do(nil, http.MethodGet, base+"/v1/files/"+id+"/content", "", nil, &raw); err != nil {
+	if err := b.get(base+"/v1/files/"+id+"/content", &raw); err != nil {
 		return err
 	}
 	for text := range bytes.Lines(raw) {
@@ -174,20 +174,3 @@
 	file.attempts[id].Finish(result)
 	delete(file.attempts, id)
 }
-
-// finishAll finishes the attempts that have no result, with the given code. An attempt that was cancelled and may have
-// run gets the code that corresponds to the reason for the cancellation instead.
-func (b *batchBackend) finishAll(file *batchFile, code standpoint.OutcomeCode, err error) {
-	if len(file.attempts) > 0 {
-		b.Log.Info("attempts of a batch file failed",
-			zap.String("server", b.name), zap.Int("lines", len(file.attempts)),
-			zap.Stringer("code", code), zap.Error(err))
-	}
-	for id, attempt := range file.attempts {
-		result := node.Result{Code: code}
-		if attempt.Context().Err() != nil && !code.NeverRan() {
-			result.Code = failureCode(attempt.Context(), true, nil)
-		}
-		b.finish(file, id, result)
-	}
-}
--- /dev/null
+++ b/internal/backend/batch_run.go
@@ -0,0 +1,217 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"standpoint"
+	"standpoint/internal/node"
+)
+
+// Final statuses of a batch object.
+const (
+	statusCompleted = "completed"
+	statusFailed    = "failed"
+	statusExpired   = "expired"
+	statusCancelled = "cancelled"
+)
+
+// errMayNotBegin is returned for a call that was withheld because an attempt of its file may no longer begin.
+var errMayNotBegin = errors.New("call withheld: an attempt of the file may not begin")
+
+// runFile processes a file from its upload to the last result. A line cannot be cancelled by itself: if an attempt is
+// given up, the whole batch is cancelled, and no attempt is finished until the backend has confirmed that the batch has
+// ended, or counts as lost. Until then a line that has not run yet may still run. If it may run even then, because the
+// backend may be alive, its attempt is finished as unresolved, so that no other attempt follows.
+func (b *batchBackend) runFile(address string, file *batchFile) {
+	base := "http://" + address
+	for _, attempt := range file.attempts {
+		defer context.AfterFunc(attempt.Context(), file.cancel)()
+	}
+	created, result, err := b.startBatch(base, file)
+	if err != nil {
+		b.finishAll(file, result, err)
+	}
+	if len(file.attempts) == 0 {
+		return
+	}
+	file.batchID = created.ID
+	if b.OnWritten != nil {
+		for range file.attempts {
+			b.OnWritten()
+		}
+	}
+	final, err := b.awaitBatch(base, file)
+	if err == nil {
+		err = b.joinFiles(base, final, file)
+	}
+	if err != nil {
+		b.finishAll(file, node.Result{Code: standpoint.ConnectionLost}, err)
+		return
+	}
+	// A line without a result never ran, unless its batch completed.
+	code := standpoint.Rejected
+	if final.Status == statusCompleted {
+		code = standpoint.ConnectionLost
+	}
+	b.finishAll(file, node.Result{Code: code}, errors.New("no result for the line in a batch with status "+final.Status))
+}
+
+// joinFiles joins the results in a batch's output and error files to the attempts.
+func (b *batchBackend) joinFiles(base string, final batchObject, file *batchFile) error {
+	for _, id := range []string{final.OutputFileID, final.ErrorFileID} {
+		if id == "" {
+			continue
+		}
+		if err := b.joinResults(base, id, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startBatch uploads the file and creates a batch of it. Just before the first byte of either call is written, it
+// checks whether all attempts may begin. If one may not, because its client has disconnected or the backend is
+// draining, it is dropped, and a new file is made of the others. If all attempts have been finished, there is no batch
+// and no error. result is that of the attempts after an error.
+func (b *batchBackend) startBatch(base string, file *batchFile) (created batchObject, result node.Result, err error) {
+	for {
+		for id, attempt := range file.attempts {
+			if attempt.CheckStart() != nil {
+				b.finish(file, id, notBegunResult(attempt.Context()))
+			}
+		}
+		if len(file.attempts) == 0 {
+			return batchObject{}, node.Result{}, nil
+		}
+		file.id, err = b.upload(base, file)
+		switch {
+		case errors.Is(err, errMayNotBegin):
+			continue
+		case err != nil: // a file without a batch runs nothing
+			return batchObject{}, node.Result{Code: standpoint.NoConnection}, err
+		}
+		created, err = b.createBatch(base, file)
+		switch {
+		case err == nil:
+			return created, node.Result{}, nil
+		case errors.Is(err, errMayNotBegin):
+			continue
+		case !mayHaveTakenEffect(err):
+			return batchObject{}, node.Result{Code: standpoint.Rejected}, err
+		}
+		return b.resolveCreation(base, file, err)
+	}
+}
+
+// batchRequest is the body of the call that creates a batch.
+type batchRequest struct {
+	CompletionWindow string `json:"completion_window"`
+	Endpoint         string `json:"endpoint"`
+	InputFileID      string `json:"input_file_id"`
+}
+
+// batchObject holds the fields of a batch object that are used.
+type batchObject struct {
+	ID           string `json:"id"`
+	Status       string `json:"status"`
+	InputFileID  string `json:"input_file_id"`
+	OutputFileID string `json:"output_file_id"`
+	ErrorFileID  string `json:"error_file_id"`
+}
+
+// isFinal reports whether the batch has ended.
+func (o *batchObject) isFinal() bool {
+	switch o.Status {
+	case statusCompleted, statusFailed, statusExpired, statusCancelled:
+		return true
+	}
+	return false
+}
+
+// createBatch creates a batch of an uploaded file.
+func (b *batchBackend) createBatch(base string, file *batchFile) (created batchObject, err error) {
+	body, err := json.Marshal(batchRequest{
+		InputFileID:      file.id,
+		Endpoint:         "/v1/chat/completions",
+		CompletionWindow: "24h",
+	})
+	if err != nil {
+		return created, err
+	}
+	call := batchCall{
+		method:      http.MethodPost,
+		url:         base + "/v1/batches",
+		contentType: "application/json",
+		body:        body,
+		mayBegin:    file.mayBegin(),
+		receive:     &created,
+	}
+	if err = b.do(call); err == nil && created.ID == "" {
+		err = &callError{
+			call:   call.method + " " + call.url,
+			status: http.StatusOK,
+			sent:   true,
+			cause:  errors.New("the response names no batch"),
+		}
+	}
+	return created, err
+}
+
+// awaitBatch polls the batch until it has ended, and cancels it when the file is cancelled.
+func (b *batchBackend) awaitBatch(base string, file *batchFile) (batchObject, error) {
+	url := base + "/v1/batches/" + file.batchID
+	lastResponse := time.Now()
+	cancelled := false
+	for {
+		if file.ctx.Err() != nil && !cancelled {
+			cancelled = b.do(batchCall{method: http.MethodPost, url: url + "/cancel"}) == nil
+		}
+		var object batchObject
+		err := b.get(url, &object)
+		switch {
+		case err == nil && object.isFinal():
+			return object, nil
+		case err == nil:
+			lastResponse = time.Now()
+		case time.Since(lastResponse) > b.Batch.LostTimeout:
+			return object, fmt.Errorf("backend lost, no response to a poll in time: %w", err)
+		}
+		wake := file.ctx.Done()
+		if file.ctx.Err() != nil {
+			wake = nil
+		}
+		select {
+		case <-time.After(b.Batch.PollInterval):
+		case <-wake:
+		}
+	}
+}
+
+// finishAll finishes the attempts that have no result, with the given one. An attempt that was cancelled and may have
+// run gets the code that corresponds to the reason for the cancellation instead.
+func (b *batchBackend) finishAll(file *batchFile, result node.Result, err error) {
+	if len(file.attempts) > 0 {
+		b.Log.Info("attempts of a batch file failed",
+			zap.String("server", b.name),
+			zap.String("file", file.id),
+			zap.String("batch", file.batchID),
+			zap.Int("lines", len(file.attempts)),
+			zap.Stringer("code", result.Code),
+			zap.Bool("unresolved", result.Unresolved),
+			zap.Error(err))
+	}
+	for id, attempt := range file.attempts {
+		own := result
+		if attempt.Context().Err() != nil && !result.Code.NeverRan() {
+			own.Code = failureCode(attempt.Context(), true, nil)
+		}
+		b.finish(file, id, own)
+	}
+}
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -149,10 +149,12 @@
 	}
 	started.draining.Store(endpoint.State != standpoint.Ready)
 	if endpoint.Batch {
+		connections := f.Options
+		connections.OnWritten = nil // a call is not an attempt
 		backend := &batchBackend{
 			Options:       f.Options,
 			backendHandle: started,
-			client:        &http.Client{Transport: transport(f.Options, &idleLimit{})},
+			client:        &http.Client{Transport: transport(connections, &idleLimit{})},
 			filesInFlight: map[*batchFile]bool{},
 			fileEnded:     make(chan *batchFile),
 		}
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -50,33 +50,39 @@
 	request.Deadline = s.Core.Expires(began, time.Until(end))
 	traceID := newID("")
 	content := &responseCollector{}
-	answer, ended := s.serve(requestCtx, node.NewRequest(request, node.Work{
+	sent := s.serve(requestCtx, node.NewRequest(request, node.Work{
 		Method:      http.MethodPost,
 		Target:      l.task.URL,
 		TraceID:     traceID,
 		ContentType: "application/json",
 		Body:        body,
 	}, content))
-	if !ended || ctx.Err() != nil {
+	if !sent.ended || ctx.Err() != nil {
 		// Another leader may own the line. It is stored as in flight until the time in its record's Until has passed.
 		return node.ClientDisconnected
 	}
-	s.recordOutcome(ctx, l, answer, traceID, content)
-	return answer.Kind
+	s.recordOutcome(ctx, l, sent, traceID, content)
+	return sent.answer.Kind
 }
 
-// serve passes a request to the core and returns once no attempt of it is in flight. ended is false if the core stopped
-// before.
-func (s *Service) serve(ctx context.Context, request *node.Request) (answer node.Answer, ended bool) {
+// lineOutcome is what came of sending a line.
+type lineOutcome struct {
+	answer     node.Answer
+	ended      bool // no attempt is known to be in flight; false if the core stopped before
+	unresolved bool // an attempt may run all the same, so that the line must not be sent again
+}
+
+// serve passes a request to the core and returns once no attempt of it is in flight.
+func (s *Service) serve(ctx context.Context, request *node.Request) lineOutcome {
 	answer, err := s.Core.Serve(ctx, request)
 	if err != nil { // the core accepts no requests
-		return node.Answer{Kind: node.Rejected}, true
+		return lineOutcome{answer: node.Answer{Kind: node.Rejected}, ended: true}
 	}
 	select {
 	case <-request.Idle():
-		return answer, true
+		return lineOutcome{answer: answer, ended: true, unresolved: request.Unresolved()}
 	case <-s.Core.Stopped():
-		return answer, false
+		return lineOutcome{answer: answer}
 	}
 }
 
@@ -84,13 +90,16 @@
 func (s *Service) recordOutcome(
 	ctx context.Context,
 	l *line,
-	answer node.Answer,
+	sent lineOutcome,
 	traceID string,
 	content *responseCollector,
 ) {
+	answer := sent.answer
 	switch {
 	case answer.Kind == node.Served:
 		s.logUnrecorded(l, s.completeLine(ctx, l, traceID, content))
+	case sent.unresolved:
+		s.logUnrecorded(l, s.failUnresolvedLine(ctx, l))
 	case answer.Kind == node.Rejected: // a rejection does not count as an attempt
 		s.retryLine(ctx, l, l.record.Attempts-1, max(answer.RetryAfter, minRejectionDelay))
 	case l.record.Attempts >= s.MaxAttempts || answer.Kind == node.Invalid:
--- a/internal/batch/line.go
+++ b/internal/batch/line.go
@@ -113,13 +113,26 @@
 	CodeServerError:    "The request failed each time that it was tried.",
 }
 
+// unresolvedMessage is the message of a line's error after an attempt that may still be running.
+const unresolvedMessage = "The server did not say what became of the request, which may have been executed."
+
 // failLine records an error as a line's result.
 func (s *Service) failLine(ctx context.Context, l *line, code LineErrorCode) error {
+	return s.failLineWith(ctx, l, LineError{Code: code, Message: lineErrorMessages[code]})
+}
+
+// failUnresolvedLine records as a line's result that an attempt of it may still be running.
+func (s *Service) failUnresolvedLine(ctx context.Context, l *line) error {
+	return s.failLineWith(ctx, l, LineError{Code: CodeServerError, Message: unresolvedMessage})
+}
+
+// failLineWith records a line's error as its result.
+func (s *Service) failLineWith(ctx context.Context, l *line, lineError LineError) error {
 	record := lineRecord{State: lineFailed, Attempts: l.record.Attempts}
 	return s.writeLine(ctx, l, record, &Result{
 		ID:       newID("batch_req_"),
 		CustomID: l.task.CustomID,
-		Error:    &LineError{Code: code, Message: lineErrorMessages[code]},
+		Error:    &lineError,
 	})
 }
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -60,6 +60,9 @@
 	Moved bool
 	// Complete is true if the answer is complete although the backend did not end it: this node stopped the decoding.
 	Complete bool
+	// Unresolved is true if the attempt may still be running at its backend, and it cannot be found out whether it is.
+	// The request fails then, since another attempt might run at the same time.
+	Unresolved bool
 }
 
 // Context returns the attempt's context. It ends when the attempt is cancelled, with the reason, such as
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -235,6 +235,12 @@
 		c.Fleet.RecordFinished(m.observation())
 	}
 	request := m.attempt.Request
+	if m.result.Unresolved {
+		request.unresolved = true
+		if request.settle(Answer{Kind: Failed}) && c.Pools != nil {
+			c.Pools.RecordRejected(&request.Spec)
+		}
+	}
 	c.decide(&standpoint.Outcome{
 		Request:       request.Spec.ID,
 		Attempt:       m.attempt.Number,
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -76,9 +76,10 @@
 	done       chan Answer   // gets the one final answer; its buffer of one keeps the sender from blocking
 	idle       chan struct{} // closed as Idle describes
 
-	// Only the goroutine of Core.Run uses these.
-	arrivedAt time.Time
-	attempts  []*Attempt
+	// Only the goroutine of Core.Run uses these, and Unresolved once idle is closed.
+	arrivedAt  time.Time
+	attempts   []*Attempt
+	unresolved bool // an attempt ended as Result.Unresolved describes
 
 	mu      sync.Mutex // guards the fields below, and cancelled and endStream of the request's attempts
 	settled bool       // the final answer has been decided
@@ -97,9 +98,13 @@
 }
 
 // Idle returns a channel that is closed once the request is settled and none of its attempts is in flight. A caller
-// that retries the same work only then never has two attempts in flight.
+// that retries the same work only then, and only if the request is not Unresolved, never has two attempts in flight.
 func (r *Request) Idle() <-chan struct{} { return r.idle }
 
+// Unresolved reports whether an attempt of the request may still be running although none is known to be in flight. It
+// must be called only once the channel of Idle is closed. A caller must not retry the same work then.
+func (r *Request) Unresolved() bool { return r.unresolved }
+
 // Backend returns the name of the backend whose answer is forwarded; empty if there is none yet.
 func (r *Request) Backend() string {
 	r.mu.Lock()
--- a/internal/testpeer/backend.go
+++ b/internal/testpeer/backend.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// Reset resets the connection of a call in place of a response.
+func Reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+	conn.Close()
+}
+
 // FreeAddress returns a loopback address on which nothing listens.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
--- a/internal/testpeer/batch_backend.go
+++ b/internal/testpeer/batch_backend.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +29,9 @@
 	// and the number of this attempt of it, from 1.
 	Run func(line string, attempt int) int
 
-	mu       sync.Mutex        // guards all below
+	mu       sync.Mutex // guards all below
+	fault    func(*http.Request) CallFault
+	uploads  int               // uploaded files
 	files    map[string]string // content, by file id
 	batches  map[string]*batch // by batch id
 	executed int               // lines that have been run
@@ -36,9 +39,62 @@
 	waiting  int               // lines of batches in progress that have not been run yet
 }
 
+// CallFault is what goes wrong with a call to a batch backend.
+type CallFault uint8
+
+// The faults of calls.
+const (
+	NoFault     CallFault = iota
+	LostCall              // the connection is reset, and the call is not carried out
+	LostAnswer            // the call is carried out, and the connection is reset before the response
+	Unsupported           // the backend has no such call
+	ServerFault           // the call is carried out, and the response is 500
+	BadAnswer             // the call is carried out, and the response is not JSON
+	Hang                  // the call is not carried out, and there is no response until the client gives up
+)
+
+// SetFault sets the function that decides what goes wrong with each call.
+func (b *BatchBackend) SetFault(fault func(*http.Request) CallFault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault = fault
+}
+
+// serveFaulty passes a call to next, with the fault that is set for it.
+func (b *BatchBackend) serveFaulty(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	b.mu.Lock()
+	decide := b.fault
+	b.mu.Unlock()
+	fault := NoFault
+	if decide != nil {
+		fault = decide(r)
+	}
+	switch fault {
+	case NoFault:
+		next.ServeHTTP(w, r)
+	case LostCall:
+		Reset(w)
+	case LostAnswer:
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		Reset(w)
+	case Unsupported:
+		http.Error(w, "no such call", http.StatusMethodNotAllowed)
+	case ServerFault:
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		http.Error(w, "internal error", http.StatusInternalServerError)
+	case BadAnswer:
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		_, _ = io.WriteString(w, `{"id":`)
+	case Hang:
+		_, _ = io.Copy(io.Discard, r.Body) // the client's disconnect is noticed only once the body was read
+		<-r.Context().Done()
+	}
+}
+
 // batch is the state of a batch. BatchBackend.mu guards it.
 type batch struct {
 	status     string
+	inputFile  string // the id of the file of its lines
 	outputFile string // the id of the file of answers with status 200; empty: none yet
 	errorFile  string // the id of the file of the other answers; empty: none yet
 	cancelling bool   // a cancellation has been requested
@@ -64,10 +120,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/files", b.upload)
 	mux.HandleFunc("GET /v1/files/{id}/content", b.content)
+	mux.HandleFunc("DELETE /v1/files/{id}", b.deleteFile)
 	mux.HandleFunc("POST /v1/batches", b.create)
+	mux.HandleFunc("GET /v1/batches", b.list)
 	mux.HandleFunc("GET /v1/batches/{id}", b.get)
 	mux.HandleFunc("POST /v1/batches/{id}/cancel", b.cancel)
-	b.Address = StartBackend(t, mux.ServeHTTP)
+	b.Address = StartBackend(t, func(w http.ResponseWriter, r *http.Request) { b.serveFaulty(w, r, mux) })
 	return b
 }
 
@@ -94,11 +152,24 @@
 	raw, _ := io.ReadAll(file) // the form keeps the file in memory: reading cannot fail
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	id := fmt.Sprintf("file-%d", len(b.files))
+	b.uploads++
+	id := fmt.Sprintf("file-%d", b.uploads)
 	b.files[id] = string(raw)
 	fmt.Fprintf(w, `{"id":%q,"object":"file"}`, id)
 }
 
+func (b *BatchBackend) deleteFile(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := r.PathValue("id")
+	if _, ok := b.files[id]; !ok {
+		http.NotFound(w, r)
+		return
+	}
+	delete(b.files, id)
+	fmt.Fprintf(w, `{"id":%q,"object":"file","deleted":true}`, id)
+}
+
 func (b *BatchBackend) content(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -110,14 +181,19 @@
 	var request struct {
 		File string `json:"input_file_id"`
 	}
-	_ = json.NewDecoder(r.Body).Decode(&request) // after an error File is empty and the batch has no lines
+	_ = json.NewDecoder(r.Body).Decode(&request) // after an error File is empty, and there is no such file
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	content, ok := b.files[request.File]
+	if !ok {
+		http.Error(w, "no such file", http.StatusBadRequest)
+		return
+	}
 	id := fmt.Sprintf("batch_%d", len(b.batches))
-	created := &batch{status: batchInProgress}
+	created := &batch{status: batchInProgress, inputFile: request.File}
 	b.batches[id] = created
 	var lines []batchLine
-	for text := range strings.Lines(b.files[request.File]) {
+	for text := range strings.Lines(content) {
 		var line batchLine
 		_ = json.Unmarshal([]byte(text), &line) // tests upload only well-formed lines
 		line.attempt = b.Counter.Begin(line.key())
@@ -177,6 +253,20 @@
 	return true
 }
 
+// list responds with all batches on one page.
+func (b *BatchBackend) list(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, _ = io.WriteString(w, `{"object":"list","has_more":false,"data":[`)
+	separator := ""
+	for id, shown := range b.batches {
+		_, _ = io.WriteString(w, separator)
+		b.write(w, id, shown)
+		separator = ","
+	}
+	_, _ = io.WriteString(w, `]}`)
+}
+
 func (b *BatchBackend) get(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -204,6 +294,6 @@
 
 // write writes the current state of a batch as JSON. The caller holds b.mu.
 func (b *BatchBackend) write(w io.Writer, id string, shown *batch) {
-	fmt.Fprintf(w, `{"id":%q,"status":%q,"output_file_id":%q,"error_file_id":%q,"created_at":%d}`, id, shown.status,
-		shown.outputFile, shown.errorFile, time.Now().Unix())
+	fmt.Fprintf(w, `{"id":%q,"status":%q,"input_file_id":%q,"output_file_id":%q,"error_file_id":%q,"created_at":%d}`,
+		id, shown.status, shown.inputFile, shown.outputFile, shown.errorFile, time.Now().Unix())
 }
