Batch servers: lines of a server out of reach are not sent again while they may run

What callers saw: no line lost its result, but the lines of a server that left polls unanswered for longer than batch_server.lost were sent to other servers while it still ran them.

Cause: awaitBatch returned the same error whether the server's process was gone or only out of reach, and runFile finished the attempts as ConnectionLost, which are repeated.

Change: the attempts are over only if nobody listens at the server's address or the process there knows no such batch; otherwise they end as unresolved and no other attempt follows.

Test, on the code before: TestLostPollsOfBatch failed with "expected 1, actual 2: no line may have two attempts in flight". Now it passes, three times with the race detector; TestStoppedBatchServer (process gone: lines are sent again) passes on both.

--- a/internal/backend/batch_run.go
+++ b/internal/backend/batch_run.go
@@ -47,12 +47,13 @@
 			b.OnWritten()
 		}
 	}
-	final, err := b.awaitBatch(base, file)
+	final, result, err := b.awaitBatch(base, file)
 	if err == nil {
+		result = node.Result{Code: standpoint.ConnectionLost}
 		err = b.joinFiles(base, final, file)
 	}
 	if err != nil {
-		b.finishAll(file, node.Result{Code: standpoint.ConnectionLost}, err)
+		b.finishAll(file, result, err)
 		return
 	}
 	// A line without a result never ran, unless its batch completed.
@@ -164,8 +165,9 @@
 	return created, err
 }
 
-// awaitBatch polls the batch until it has ended, and cancels it when the file is cancelled.
-func (b *batchBackend) awaitBatch(base string, file *batchFile) (batchObject, error) {
+// awaitBatch polls the batch until it has ended, and cancels it when the file is cancelled. result is that of the
+// attempts after an error, which means that the backend counts as lost.
+func (b *batchBackend) awaitBatch(base string, file *batchFile) (final batchObject, result node.Result, err error) {
 	url := base + "/v1/batches/" + file.batchID
 	lastResponse := time.Now()
 	cancelled := false
@@ -177,11 +179,11 @@
 		err := b.get(url, &object)
 		switch {
 		case err == nil && object.isFinal():
-			return object, nil
+			return object, node.Result{}, nil
 		case err == nil:
 			lastResponse = time.Now()
 		case time.Since(lastResponse) > b.Batch.LostTimeout:
-			return object, fmt.Errorf("backend lost, no response to a poll in time: %w", err)
+			return object, lostBatchResult(err), fmt.Errorf("backend lost, no response to a poll in time: %w", err)
 		}
 		wake := file.ctx.Done()
 		if file.ctx.Err() != nil {
@@ -194,6 +196,14 @@
 	}
 }
 
+// lostBatchResult returns the result of the attempts of a batch whose backend counts as lost. They are over if no process
+// listens at its address, or if the one that does knows no such batch. A backend that is out of reach or overloaded may
+// still run them.
+func lostBatchResult(err error) node.Result {
+	ended := isServerProcessGone(err) || responseStatus(err) == http.StatusNotFound
+	return node.Result{Code: standpoint.ConnectionLost, Unresolved: !ended}
+}
+
 // finishAll finishes the attempts that have no result, with the given one. An attempt that was cancelled and may have
 // run gets the code that corresponds to the reason for the cancellation instead.
 func (b *batchBackend) finishAll(file *batchFile, result node.Result, err error) {
--- a/internal/batch/unknown_outcome_test.go
+++ b/internal/batch/unknown_outcome_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"net/http"
-	"strings"
-
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,14 +27,9 @@
 	return r.Method == http.MethodGet && r.URL.Path == "/v1/batches"
 }
 
-// isContent reports whether a call fetches the content of a file.
-func isContent(r *http.Request) bool {
-	return r.Method == http.MethodGet && strings.HasSuffix(r.URL.Path, "/content")
-}
-
-// isPoll reports whether a call polls a batch.
-func isPoll(r *http.Request) bool {
-	return r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/batches/")
+// isPollOfFirst reports whether a call polls a server's first batch.
+func isPollOfFirst(r *http.Request) bool {
+	return r.Method == http.MethodGet && r.URL.Path == "/v1/batches/batch_0"
 }
 
 // firstCreation returns a function that reports true for the first call that creates a batch, at any of the servers
@@ -69,6 +63,24 @@
 	return b, c, counter
 }
 
+// requireUnresolved requires that each line ran at most once, and that the lines without a response have an error that
+// says that they may have been executed. It returns the number of these.
+func requireUnresolved(t *testing.T, b batch.Batch, c *client, counter *testpeer.AttemptCounter) int {
+	t.Helper()
+	require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
+	for line, attempts := range counter.Attempts() {
+		require.Equal(t, 1, attempts, line)
+	}
+	served, _ := c.results(b.OutputFileID)
+	failed, _ := c.results(b.ErrorFileID)
+	require.Len(t, failed, unknownOutcomeLines-len(served))
+	for id, result := range failed {
+		require.Equal(t, batch.CodeServerError, result.Error.Code, id)
+		require.Contains(t, result.Error.Message, "may have been executed")
+	}
+	return len(failed)
+}
+
 // requireAllServedOnce requires that each line ran once and has a response.
 func requireAllServedOnce(t *testing.T, b batch.Batch, counter *testpeer.AttemptCounter) {
 	t.Helper()
@@ -131,16 +143,45 @@
 		}
 		return testpeer.NoFault
 	})
+	require.NotZero(t, requireUnresolved(t, b, c, counter))
+}
+
+// Guards against lines that run twice at once because their server does not answer polls for the time after which it
+// counts as lost, although it still runs them.
+func TestLostPollsOfBatch(t *testing.T) {
+	t.Parallel()
+	b, c, counter := faultyBatch(t, 300*time.Millisecond, func(r *http.Request) testpeer.CallFault {
+		if isPollOfFirst(r) {
+			return testpeer.LostCall
+		}
+		return testpeer.NoFault
+	})
+	require.NotZero(t, requireUnresolved(t, b, c, counter))
+}
+
+// Guards against lines that are given up although the process that ran them is gone: nothing listens at its address.
+func TestStoppedBatchServer(t *testing.T) {
+	t.Parallel()
+	counter := testpeer.NewAttemptCounter()
+	settings := testpeer.Settings()
+	settings.Cancel = false
+	var stopped *testpeer.BatchBackend
+	var once sync.Once
+	stopped = testpeer.NewBatchBackend(t, counter, func(string, int) int {
+		once.Do(func() { go stopped.Stop() })
+		time.Sleep(100 * time.Millisecond)
+		return http.StatusOK
+	})
+	other := testpeer.NewBatchBackend(t, counter, succeed)
+	n := testpeer.Start(t, settings, batchEndpoint("b1", stopped))
+	c := start(t, n, store.NewMemory(), nil)
+	id := c.submit(inputLines(unknownOutcomeLines), "1h").ID
+	require.Eventually(t, func() bool { return stopped.Waiting() > 0 }, 5*time.Second, time.Millisecond)
+	n.UpdateEndpoints(batchEndpoint("b1", stopped), batchEndpoint("b2", other))
+	b := c.wait(id, 20*time.Second)
+	counts := batch.RequestCounts{Total: unknownOutcomeLines, Completed: unknownOutcomeLines}
+	require.Equal(t, counts, b.RequestCounts)
 	require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
-	for line, attempts := range counter.Attempts() {
-		require.Equal(t, 1, attempts, line)
-	}
-	served, _ := c.results(b.OutputFileID)
-	failed, _ := c.results(b.ErrorFileID)
-	require.NotEmpty(t, failed)
-	require.Len(t, failed, unknownOutcomeLines-len(served))
-	for id, result := range failed {
-		require.Equal(t, batch.CodeServerError, result.Error.Code, id)
-		require.Contains(t, result.Error.Message, "may have been executed")
-	}
+	ran, _ := stopped.Lines()
+	require.Positive(t, ran, "the server must have begun a line")
 }
--- a/internal/testpeer/batch_backend.go
+++ b/internal/testpeer/batch_backend.go
@@ -29,7 +29,10 @@
 	// and the number of this attempt of it, from 1.
 	Run func(line string, attempt int) int
 
+	server *httptest.Server
+
 	mu       sync.Mutex // guards all below
+	stopped  bool       // Stop was called: no further line is run
 	fault    func(*http.Request) CallFault
 	uploads  int               // uploaded files
 	files    map[string]string // content, by file id
@@ -125,10 +128,24 @@
 	mux.HandleFunc("GET /v1/batches", b.list)
 	mux.HandleFunc("GET /v1/batches/{id}", b.get)
 	mux.HandleFunc("POST /v1/batches/{id}/cancel", b.cancel)
-	b.Address = StartBackend(t, func(w http.ResponseWriter, r *http.Request) { b.serveFaulty(w, r, mux) })
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.serveFaulty(w, r, mux)
+	}))
+	b.Address = strings.TrimPrefix(b.server.URL, "http://")
+	t.Cleanup(b.Stop)
 	return b
 }
 
+// Stop stops the backend as if its process had been killed: nothing listens at its address any more, and the lines that
+// have not begun are not run.
+func (b *BatchBackend) Stop() {
+	b.mu.Lock()
+	b.stopped = true
+	b.mu.Unlock()
+	b.server.CloseClientConnections()
+	b.server.Close()
+}
+
 // Waiting returns the number of lines of the batches in progress that have not been run yet.
 func (b *BatchBackend) Waiting() int {
 	b.mu.Lock()
@@ -239,13 +256,13 @@
 	}
 }
 
-// startLine counts the next line of a batch as run, or as skipped if a cancellation has been requested. It reports
-// whether the line is to be run.
+// startLine counts the next line of a batch as run, or as skipped if a cancellation has been requested or the backend
+// was stopped. It reports whether the line is to be run.
 func (b *BatchBackend) startLine(running *batch) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.waiting--
-	if running.cancelling {
+	if running.cancelling || b.stopped {
 		b.skipped++
 		return false
 	}
