Batch servers: results whose response was lost are fetched again, the lines are not

What callers saw: lines that had run to their end ran once more, one after the other, when the response with a batch's output file was lost.

Cause: one failed call for the content finished all attempts as ConnectionLost.

Change: the fetch, which has no effect, is repeated until the server counts as lost; a refusal ends it at once.

Test, on the code before: TestLostResultsOfBatch failed ("expected 1, actual 2" attempts of a line). Now it passes, three times with the race detector.

--- a/internal/backend/batch_file.go
+++ b/internal/backend/batch_file.go
@@ -98,13 +98,9 @@
 	return uploaded.ID, err
 }
 
-// joinResults finishes the attempts whose results are in the output or error file with the given ID.
-func (b *batchBackend) joinResults(base, id string, file *batchFile) error {
-	var raw []byte
-	if err := b.get(base+"/v1/files/"+id+"/content", &raw); err != nil {
-		return err
-	}
-	for text := range bytes.Lines(raw) {
+// joinResults finishes the attempts whose results are in the content of the output or error file with the given ID.
+func (b *batchBackend) joinResults(content []byte, id string, file *batchFile) error {
+	for text := range bytes.Lines(content) {
 		var result batchLine
 		if err := json.Unmarshal(text, &result); err != nil {
 			return fmt.Errorf("decode line of file %s: %w", id, err)
--- a/internal/backend/batch_run.go
+++ b/internal/backend/batch_run.go
@@ -70,13 +70,37 @@
 		if id == "" {
 			continue
 		}
-		if err := b.joinResults(base, id, file); err != nil {
+		content, err := b.fetchContent(base, id)
+		if err != nil {
+			return err
+		}
+		if err := b.joinResults(content, id, file); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// fetchContent fetches the content of a file. A call that got no usable response is repeated until the backend counts as
+// lost: the lines have run, and would run again without their results.
+func (b *batchBackend) fetchContent(base, id string) ([]byte, error) {
+	began := time.Now()
+	for {
+		var content []byte
+		err := b.get(base+"/v1/files/"+id+"/content", &content)
+		var failed *callError
+		switch {
+		case err == nil:
+			return content, nil
+		case errors.As(err, &failed) && failed.refused() && failed.status != http.StatusServiceUnavailable:
+			return nil, err
+		case time.Since(began) > b.Batch.LostTimeout:
+			return nil, fmt.Errorf("backend lost, results not fetched in time: %w", err)
+		}
+		time.Sleep(b.Batch.PollInterval)
+	}
+}
+
 // startBatch uploads the file and creates a batch of it. Just before the first byte of either call is written, it
 // checks whether all attempts may begin. If one may not, because its client has disconnected or the backend is
 // draining, it is dropped, and a new file is made of the others. If all attempts have been finished, there is no batch
--- a/internal/batch/unknown_outcome_test.go
+++ b/internal/batch/unknown_outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -159,6 +160,19 @@
 	require.NotZero(t, requireUnresolved(t, b, c, counter))
 }
 
+// Guards against lines that run again because the response with their results was lost: they are fetched again.
+func TestLostResultsOfBatch(t *testing.T) {
+	t.Parallel()
+	var fetches atomic.Int32
+	b, _, counter := faultyBatch(t, time.Millisecond, func(r *http.Request) testpeer.CallFault {
+		if r.Method == http.MethodGet && strings.HasSuffix(r.URL.Path, "/content") && fetches.Add(1) <= 3 {
+			return testpeer.LostAnswer
+		}
+		return testpeer.NoFault
+	})
+	requireAllServedOnce(t, b, counter)
+}
+
 // Guards against lines that are given up although the process that ran them is gone: nothing listens at its address.
 func TestStoppedBatchServer(t *testing.T) {
 	t.Parallel()
