Upgrade: streams that are passed on are not refused by the new process's limits

Cause: the new process confirmed a stream before Core.Adopt admitted it. The limiter then gave it a place as for a new request: half of the node's places for one of two processes, half of that for one tenant, and all adopted streams came as tenant -1.

Change: a stream that another process of the node has admitted counts against the limits but is never refused by them: the node holds no more after the pass than before. The name of its tenant is passed with it.

--- a/internal/backend/stream_handover.go
+++ b/internal/backend/stream_handover.go
@@ -22,6 +22,8 @@
 	Trace string `json:"trace"`
 	// Class is the index of the request's class.
 	Class int `json:"class"`
+	// Tenant is the index of the request's tenant in this process. It is not passed on.
+	Tenant int `json:"-"`
 	// Backend is the name of the backend.
 	Backend string `json:"server"`
 	// Partial is the received part of an event that is not yet complete.
@@ -47,6 +49,7 @@
 	return Stream{
 		Trace:         attempt.Request.Work.TraceID,
 		Class:         attempt.Request.Spec.Class,
+		Tenant:        attempt.Request.Spec.Tenant,
 		Backend:       attempt.Backend,
 		Partial:       state.buffer,
 		ReceivedBytes: state.receivedBytes,
--- a/internal/cli/upgrade_test.go
+++ b/internal/cli/upgrade_test.go
@@ -214,3 +214,38 @@
 		require.Equal(t, 1, u.counter.Attempts()[id], "%v", id)
 	}
 }
+
+// TestUpgradeWithManyStreams guards against streams that the new process agrees to take over and then has no place for:
+// it may serve half as many requests as long as two processes run, but those that the old one passes on are admitted
+// already.
+func TestUpgradeWithManyStreams(t *testing.T) {
+	const streams = 120 // more than a third of one process's share of the sockets
+	release := make(chan struct{})
+	backend := testpeer.StartBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		testpeer.WriteEvent(w, "begun")
+		<-release
+		testpeer.WriteEvent(w, "the rest")
+		testpeer.WriteStreamEnd(w)
+	})
+	u := &upgradeTest{t: t, platform: newPlatform(t, map[string]string{"box-1": backend})}
+	u.address = u.platform.listen.Addr().String()
+	first := u.startReady(10 * time.Second)
+	responses := make([]*http.Response, streams)
+	for i := range responses {
+		response, err := http.DefaultClient.Do(testpeer.ChatRequest(t, u.address, fmt.Sprint("stream-", i), "3000m"))
+		require.NoError(t, err)
+		defer response.Body.Close()
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		responses[i] = response
+	}
+	u.startReady(6 * time.Second)
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, first.Wait(), first.output)
+	require.NotEmpty(t, first.logLine("streams passed to sibling process"))
+	close(release)
+	for i, response := range responses {
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err, "stream %d was cut off", i)
+		require.Contains(t, string(body), "[DONE]")
+	}
+}
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -8,13 +8,15 @@
 	"go.uber.org/zap"
 
 	"standpoint/internal/backend"
+	"standpoint/internal/edge"
 	"standpoint/internal/node"
 )
 
-// streamTransfer describes a stream that is passed to a sibling. It has the name of the class and not its index, since
-// the sibling's configuration may list classes in another order.
+// streamTransfer describes a stream that is passed to a sibling. It has the names of the class and of the tenant and not
+// their indexes, since the sibling's configuration may list them in another order.
 type streamTransfer struct {
 	Class  string          `json:"class"`
+	Tenant string          `json:"tenant,omitempty"` // empty if there is none, or if an older version passes the stream
 	Stream json.RawMessage `json:"stream"`
 }
 
@@ -36,7 +38,11 @@
 	if err != nil {
 		return err
 	}
-	text, err := json.Marshal(streamTransfer{Class: a.front.ClassName(stream.Class), Stream: encoded})
+	text, err := json.Marshal(streamTransfer{
+		Class:  a.front.ClassName(stream.Class),
+		Tenant: a.front.TenantName(stream.Tenant),
+		Stream: encoded,
+	})
 	if err != nil {
 		return err
 	}
@@ -62,9 +68,14 @@
 		return false
 	}
 	a.adoptedStreams.Go(func() {
-		defer backendConn.Close() // if the core does not admit the request, nothing else closes the connection
 		resume := func(attempt *node.Attempt) { a.backends.ContinueStream(stream, backendConn, attempt) }
-		a.front.Adopt(ctx, client, stream.Trace, transfer.Class, stream.ClientStall, resume)
+		a.front.Adopt(ctx, edge.AdoptedResponse{
+			Client:      client,
+			TraceID:     stream.Trace,
+			Class:       transfer.Class,
+			Tenant:      transfer.Tenant,
+			ClientStall: stream.ClientStall,
+		}, resume)
 	})
 	return true
 }
--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -7,44 +7,58 @@
 	"net"
 	"time"
 
-	"go.uber.org/zap"
-
 	"standpoint"
 	"standpoint/internal/backend"
 	"standpoint/internal/node"
 )
 
+// AdoptedResponse is a response that another process of this node has begun.
+type AdoptedResponse struct {
+	Client  net.Conn // the client's connection
+	TraceID string
+	// Class and Tenant are the names of the request's class and tenant. An unknown name stands for none.
+	Class  string
+	Tenant string
+	// ClientStall is the total time for which the client has stalled the response so far.
+	ClientStall time.Duration
+}
+
 // Adopt continues a response that another process of this node has begun, until its end. run carries the attempt, as
-// for node.Core.Adopt. stalled is the total time for which the client has stalled the response so far. Adopt closes the
-// connection at the end, since the HTTP server does not serve it; the client opens another one for its next request.
-func (f *Front) Adopt(ctx context.Context, client net.Conn, traceID, class string, stalled time.Duration,
-	run func(*node.Attempt)) {
+// for node.Core.Adopt. Adopt closes the connection at the end, since the HTTP server does not serve it; the client opens
+// another one for its next request.
+func (f *Front) Adopt(ctx context.Context, response AdoptedResponse, run func(*node.Attempt)) {
+	client := response.Client
 	defer client.Close()
-	if f.ids.open(traceID, time.Now()) {
-		defer f.ids.close(traceID)
+	if f.ids.open(response.TraceID, time.Now()) {
+		defer f.ids.close(response.TraceID)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	spec := standpoint.Request{Class: -1, Tenant: -1}
-	if i, ok := f.indexes.Load().classes[class]; ok {
-		spec.Class = i
+	indexes := f.indexes.Load()
+	spec := standpoint.Request{
+		Class:  indexOf(indexes.classes, response.Class),
+		Tenant: indexOf(indexes.tenants, response.Tenant),
 	}
 	go func() { // detects the client's disconnect; the deferred Close ends it at the latest
 		_, _ = io.Copy(io.Discard, client)
 		cancel()
 	}()
-	stream := &adoptedStream{client, writeAllowance{stalled}}
-	answer, err := f.Core.Adopt(ctx, node.NewRequest(spec, node.Work{TraceID: traceID}, stream), run)
-	if err != nil {
-		f.Log.Warn("adopting a stream failed", zap.String("trace", traceID), zap.Error(err))
-		return
-	}
+	stream := &adoptedStream{client, writeAllowance{response.ClientStall}}
+	answer := f.Core.Adopt(ctx, node.NewRequest(spec, node.Work{TraceID: response.TraceID}, stream), run)
 	if answer.Kind == node.Served {
 		_ = client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
 		_, _ = io.WriteString(client, "0\r\n\r\n") // the last chunk; fails only if the client has disconnected
 	}
 }
 
+// indexOf returns the index of a name; -1 if it is unknown.
+func indexOf(indexes map[string]int, name string) int {
+	if i, ok := indexes[name]; ok {
+		return i
+	}
+	return -1
+}
+
 // adoptedStream writes the rest of a response that another process has begun.
 type adoptedStream struct {
 	conn net.Conn
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -67,9 +67,15 @@
 }
 
 // ClassName returns the name of the class with the given index; "" if there is none.
-func (f *Front) ClassName(class int) string {
-	for name, i := range f.indexes.Load().classes {
-		if i == class {
+func (f *Front) ClassName(class int) string { return nameAt(f.indexes.Load().classes, class) }
+
+// TenantName returns the name of the tenant with the given index; "" if there is none.
+func (f *Front) TenantName(tenant int) string { return nameAt(f.indexes.Load().tenants, tenant) }
+
+// nameAt returns the name with the given index; "" if there is none.
+func nameAt(indexes map[string]int, index int) string {
+	for name, i := range indexes {
+		if i == index {
 			return name
 		}
 	}
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -168,14 +168,39 @@
 	core, _ := startCore(t.Context(), 1, 10)
 	core.Settings.Resume = true
 	core.HandBack(true)
-	answer, err := core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), func(a *Attempt) {
+	answer := core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), func(a *Attempt) {
 		<-a.Context().Done()
 		a.Finish(Result{Code: standpoint.Cancelled})
 	})
-	require.NoError(t, err)
 	require.Equal(t, Interrupted, answer.Kind)
 }
 
+// TestAdoptedStreamsAreNeverRejected guards against streams that are cut off at an upgrade because this process has no
+// place for them: the process that passes them has admitted them. They count, so that further requests are rejected.
+func TestAdoptedStreamsAreNeverRejected(t *testing.T) {
+	t.Parallel()
+	const maxRequests, adopted = 4, 10
+	core, _ := startCore(t.Context(), 2, maxRequests)
+	release := make(chan struct{})
+	answers := make(chan Answer, adopted)
+	for range adopted {
+		go func() {
+			answers <- core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), func(a *Attempt) {
+				<-release
+				a.Finish(Result{Code: standpoint.Served})
+			})
+		}()
+	}
+	require.Eventually(t, func() bool { return core.OpenRequests() == adopted }, 10*time.Second, time.Millisecond)
+	_, err := core.Serve(t.Context(), newTestRequest(core, 1, time.Minute))
+	require.ErrorIs(t, err, ErrRequestLimit)
+	close(release)
+	for range adopted {
+		require.Equal(t, Served, (<-answers).Kind)
+	}
+	require.Eventually(t, func() bool { return core.OpenRequests() == 0 }, 10*time.Second, time.Millisecond)
+}
+
 // acceptingClient is a client that accepts all events.
 type acceptingClient struct{}
 
--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -43,6 +43,15 @@
 	return true
 }
 
+// AcquireAdmitted acquires n for a tenant whatever the limits, for work that another process of this node has admitted
+// and passes to this one: the node as a whole does not use more than before.
+func (l *TenantLimiter) AcquireAdmitted(tenant, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inUse += n
+	l.byTenant[tenant] += n
+}
+
 // Release releases n that a tenant has acquired.
 func (l *TenantLimiter) Release(tenant, n int) {
 	l.mu.Lock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -23,11 +23,10 @@
 }
 
 // Adopt serves a request whose answer another process of this node has begun, and returns its final answer. run carries
-// the attempt, which has already claimed the request; the decision module has no part in it.
-func (c *Core) Adopt(ctx context.Context, request *Request, run func(*Attempt)) (Answer, error) {
-	if !c.limiter.Acquire(request.Spec.Tenant, 1) {
-		return Answer{}, ErrRequestLimit
-	}
+// the attempt, which has already claimed the request; the decision module has no part in it. The other process has
+// admitted the request, so that it counts against the limits here but is never rejected.
+func (c *Core) Adopt(ctx context.Context, request *Request, run func(*Attempt)) Answer {
+	c.limiter.AcquireAdmitted(request.Spec.Tenant, 1)
 	defer c.limiter.Release(request.Spec.Tenant, 1)
 	attempt := &Attempt{
 		Request:       request,
@@ -49,7 +48,7 @@
 		answer = <-request.done
 	}
 	c.countRequest(request, answer, nil)
-	return answer, nil
+	return answer
 }
 
 // admit serves a request if the limits of this node and the budgets that the request counts against allow it.
