Core: a request that is rejected before it is submitted is idle, so its line goes on

Cause: Core.admit answered a request that Fleet.Admit rejected without submitting it, and only the goroutine of Core.Run closes Idle. The line waited for good, kept its place and counted as being sent.

Change: admit says whether it has submitted the request, and Serve ends one that was not, whatever rejected it.

--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -29,8 +29,8 @@
 
 func (noopWatcher) Watch() {}
 
-// startCore runs a Core with one endpoint until ctx is done.
-func startCore(ctx context.Context, tenants, maxRequests int) (*Core, blockingBackends) {
+// startCore runs a Core with one endpoint until ctx is done. edit changes its options.
+func startCore(ctx context.Context, tenants, maxRequests int, edit ...func(*Options)) (*Core, blockingBackends) {
 	settings := standpoint.Settings{
 		Gateways:      1,
 		MaxAttempts:   3,
@@ -41,14 +41,18 @@
 		Classes:       []standpoint.Class{{Streamed: true, TTFTObjective: 1e9, Deadline: 10e9, Weight: 1}},
 	}
 	backends := blockingBackends{make(chan *Attempt, 20_000)}
-	core := New(Options{
+	options := Options{
 		Settings:    settings,
 		Seed:        1,
 		MaxRequests: maxRequests,
 		Backends:    backends,
 		Watcher:     noopWatcher{},
 		Log:         zap.NewNop(),
-	})
+	}
+	for _, f := range edit {
+		f(&options)
+	}
+	core := New(options)
 	core.UpdateEndpoints(
 		EndpointList{
 			Kind:      standpoint.ListFull,
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -131,6 +131,15 @@
 	return true
 }
 
+// endUnsubmitted ends a request that was answered without being submitted to the goroutine of Core.Run, which therefore
+// does not close idle.
+func (r *Request) endUnsubmitted() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled = true
+	close(r.idle)
+}
+
 func (r *Request) isSettled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -14,7 +14,10 @@
 // Serve serves a request and returns its one final answer. The end of ctx means that the client has disconnected. Serve
 // counts the request in the metrics.
 func (c *Core) Serve(ctx context.Context, request *Request) (Answer, error) {
-	answer, err := c.admit(ctx, request)
+	answer, submitted, err := c.admit(ctx, request)
+	if !submitted {
+		request.endUnsubmitted()
+	}
 	if request.Hook != nil {
 		request.Hook.Finished(answer)
 	}
@@ -51,23 +54,24 @@
 	return answer
 }
 
-// admit serves a request if the limits of this node and the budgets that the request counts against allow it.
-func (c *Core) admit(ctx context.Context, request *Request) (Answer, error) {
+// admit submits a request and waits for its answer if the limits of this node and the budgets that the request counts
+// against allow it. Otherwise it rejects the request, and submitted is false.
+func (c *Core) admit(ctx context.Context, request *Request) (answer Answer, submitted bool, err error) {
 	if !c.limiter.Acquire(request.Spec.Tenant, 1) {
-		return Answer{}, ErrRequestLimit
+		return Answer{}, false, ErrRequestLimit
 	}
 	defer c.limiter.Release(request.Spec.Tenant, 1)
 	if c.Fleet == nil {
-		return c.submit(ctx, request), nil
+		return c.submit(ctx, request), true, nil
 	}
 	charge, retryAfter, admitted := c.Fleet.Admit(&request.Spec)
 	if !admitted {
-		return Answer{Kind: Rejected, RetryAfter: retryAfter, NoAttempt: true}, nil
+		return Answer{Kind: Rejected, RetryAfter: retryAfter, NoAttempt: true}, false, nil
 	}
 	charge.UncachedTokens = request.UncachedTokens
-	answer := c.submit(ctx, request)
+	answer = c.submit(ctx, request)
 	c.Fleet.Settle(&request.Spec, charge, answer)
-	return answer, nil
+	return answer, true, nil
 }
 
 // submit passes a request to the goroutine of Run and waits for its answer.
--- a/internal/testpeer/node.go
+++ b/internal/testpeer/node.go
@@ -97,6 +97,12 @@
 	return start(t, startOptions{log: log, dial: dial, settings: settings, endpoints: endpoints})
 }
 
+// StartWithFleet is Start with the state that the node shares with others.
+func StartWithFleet(t testing.TB, fleet node.Fleet, settings standpoint.Settings, endpoints ...node.Endpoint) *Node {
+	t.Helper()
+	return start(t, startOptions{fleet: fleet, settings: settings, endpoints: endpoints})
+}
+
 // StartWrapped is Start with a function that wraps each connection that the node accepts and a function that dials
 // backends; nil stands for the default dial function.
 func StartWrapped(t testing.TB, wrap func(net.Conn) net.Conn, dial DialFunc, settings standpoint.Settings,
@@ -111,6 +117,7 @@
 	log       *zap.Logger                     // nil: nothing is logged
 	listen    func(net.Listener) net.Listener // wraps the listener for clients; nil: it is not wrapped
 	dial      DialFunc                        // dials backends; nil: the default one
+	fleet     node.Fleet                      // nil: the node shares no state with others
 	settings  standpoint.Settings
 	endpoints []node.Endpoint
 }
@@ -132,6 +139,7 @@
 		MaxRequests: maxRequests,
 		Backends:    n.Backends,
 		Watcher:     emptyWatcher{},
+		Fleet:       options.fleet,
 		Metrics:     n.Metrics,
 		Log:         options.log,
 	})
