Core: requests that wait when the core stops get their answer at once

What callers saw: at the end of a process, a request that was submitted after the core's goroutine had returned, or waited in it, got no answer until its own context ended.

Cause: Core.post drops messages once Run has returned, and Core.submit waited for an answer that only Run gives.

Change: submit ends the request once Run has returned: rejected, with the time to retry after, if it was never sent, else failed. A begun answer goes on to its end.

--- a/internal/node/rejection_test.go
+++ b/internal/node/rejection_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -50,3 +51,35 @@
 		}
 	}
 }
+
+// TestRequestIsAnsweredWhenTheCoreStops guards against a request without an answer because the Core stops before it is
+// submitted, or while it waits: a caller whose context does not end would wait for good.
+func TestRequestIsAnsweredWhenTheCoreStops(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithCancel(t.Context())
+	core, backends := startCore(ctx, 1, 10)
+	waiting := make(chan Answer, 1)
+	go func() {
+		answer, _ := core.Serve(context.Background(), newTestRequest(core, 0, time.Minute))
+		waiting <- answer
+	}()
+	<-backends.sent
+	stop()
+	<-core.Stopped()
+	submitted := make(chan Answer, 1)
+	go func() {
+		answer, _ := core.Serve(context.Background(), newTestRequest(core, 0, time.Minute))
+		submitted <- answer
+	}()
+	for _, test := range []struct {
+		answers chan Answer
+		kind    AnswerKind
+	}{{waiting, Failed}, {submitted, Rejected}} {
+		select {
+		case answer := <-test.answers:
+			require.Equal(t, test.kind, answer.Kind)
+		case <-time.After(5 * time.Second):
+			t.Fatal("no answer 5 s after the core has stopped")
+		}
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -74,18 +74,34 @@
 	return answer, true, nil
 }
 
-// submit passes a request to the goroutine of Run and waits for its answer.
+// submit passes a request to the goroutine of Run and waits for its answer. If Run returns before, nobody else would
+// decide on the request, and it is ended here unless an attempt has begun its answer.
 func (c *Core) submit(ctx context.Context, request *Request) Answer {
 	c.post(submitRequest{request})
-	select {
-	case answer := <-request.done:
-		return answer
-	case <-ctx.Done():
+	stopped := c.stopped
+	for {
+		select {
+		case answer := <-request.done:
+			return answer
+		case <-ctx.Done():
+			if request.disconnect() {
+				c.post(clientDisconnected{request})
+			}
+			return <-request.done
+		case <-stopped:
+			request.settle(answerAfterStop(request))
+			stopped = nil // a begun answer goes on, and settles the request as it ends
+		}
 	}
-	if request.disconnect() {
-		c.post(clientDisconnected{request})
+}
+
+// answerAfterStop returns the answer of a request on which nobody decides any more. It is rejected, so that a retry is
+// harmless, only if it was never sent. It must be called only after Run has returned.
+func answerAfterStop(request *Request) Answer {
+	if len(request.attempts) > 0 {
+		return Answer{Kind: Failed}
 	}
-	return <-request.done
+	return Answer{Kind: Rejected, RetryAfter: handBackRetryAfter, NoAttempt: true}
 }
 
 func (c *Core) countRequest(request *Request, answer Answer, err error) {
