--- a/internal/fleet/session/service/hook.go
+++ b/internal/fleet/session/service/hook.go
@@ -99,8 +99,10 @@
 // Event implements node.Hook.
 func (h *hook) Event(event []byte) ([]byte, node.HookAction) {
 	if h.resumed() {
-		// Nothing waits for the result, and a failure has no consequences: the claim protects the session anyway.
-		h.beginOnce.Do(func() { go h.recordBegin() })
+		h.beginOnce.Do(func() {
+			// Nothing waits for the result. The response goes on meanwhile, so that the goroutine must not use the hook.
+			go h.service.recordBegin(session.Command{Kind: session.Begin, ID: h.id, FencingToken: h.fencingToken})
+		})
 	}
 	for line := range bytes.Lines(event) {
 		data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataPrefix)
@@ -249,12 +251,12 @@
 	return append(resume, last...), usage
 }
 
-// recordBegin records that output is being forwarded to the client.
-func (h *hook) recordBegin() {
+// recordBegin records that output is being forwarded to the client. A failure has no consequences: the claim protects the
+// session without it.
+func (s *Service) recordBegin(begin session.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	begin := session.Command{Kind: session.Begin, ID: h.id, FencingToken: h.fencingToken}
-	_, _ = h.service.execute(ctx, begin) // the claim protects the session without it
+	_, _ = s.execute(ctx, begin)
 }
 
 // recordEnd records the end of the session, and reports whether that succeeded. If it did not, a final response must
--- a/internal/fleet/session/service/resume_test.go
+++ b/internal/fleet/session/service/resume_test.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"standpoint/internal/fleet/session"
 	"standpoint/internal/node"
 )
 
@@ -94,6 +96,39 @@
 	require.Empty(t, c.monitor.Violations())
 }
 
+// Guards against a data race of the begin of a resumed session, which is recorded beside the response, and the next pause
+// of the session. The begin is held up until the session has paused, so that nothing orders the two: if both use one
+// field of the hook, the race detector finds it in every run.
+func TestBeginIsRecordedBesideTheNextPause(t *testing.T) {
+	var c *cluster
+	paused := make(chan struct{})
+	begun := make(chan string, 1)
+	c = newCluster(t, 1, func(o *Options) {
+		o.CallLeader = func(ctx context.Context, method string, in, out any) error {
+			command, ok := in.(session.Command)
+			if !ok || command.Kind != session.Begin {
+				return c.callLeader(ctx, method, in, out)
+			}
+			<-paused
+			begun <- command.ID
+			return c.callLeader(ctx, method, in, out)
+		}
+	})
+	resumed, rejection := c.nodes[0].Resume(t.Context(), c.pause(t, 0, "hours"), "q", 2, resultsFor("c0"))
+	require.Nil(t, rejection)
+	h := resumed.Hook(func() string { return "box" }, func() {})
+	_, action := h.Event([]byte(contentEvent("and ") + callEvents("hours")))
+	require.Equal(t, node.HookStop, action)
+	last, _ := h.Stopped()
+	key := resumeKeyIn(last)
+	require.NotEmpty(t, key)
+	close(paused)
+	id, _, err := session.ParseResumeKey(key)
+	require.NoError(t, err)
+	require.Equal(t, id, <-begun)
+	h.Finished(node.Answer{Kind: node.Served})
+}
+
 // A session expires if its tool returns no result in time, and a cancelled session cannot be resumed. A cancellation
 // after a claim fails. Records of sessions that are over are deleted after the retention time.
 func TestExpiredAndCancelledSessions(t *testing.T) {
