Store: a write whose leadership was lost is reported once its outcome is certain

Cause: Raft.Write returned raft.ErrLeadershipLost as ErrNotLeader, which promises that nothing was written, although the next leader may commit the entry.

--- a/internal/batch/api_test.go
+++ b/internal/batch/api_test.go
@@ -109,3 +109,28 @@
 	require.Equal(t, http.StatusOK, c.call(http.MethodDelete, "/v1/files/"+b.InputFileID, "", nil))
 	require.Equal(t, http.StatusOK, c.upload(strings.Repeat("x", 100), nil))
 }
+
+// Guards against a creation that is answered 503 with Retry-After, which promises that a retry is harmless, although it
+// is unknown whether the batch was created. A write that was certainly not carried out is answered so.
+func TestUnknownOutcomeIsNoRefusal(t *testing.T) {
+	n := testpeer.Start(t, testpeer.Settings())
+	interrupted := &interruptedStore{Memory: store.NewMemory(), carriedOut: true}
+	_, c := serve(t, n, interrupted, nil)
+	var file batch.File
+	require.Equal(t, http.StatusOK, c.upload(inputLines(1), &file))
+	interrupted.failAt = interrupted.writes.Load() + 1
+	const create = `{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"1h"}`
+	status, retryAfter := c.create(fmt.Sprintf(create, file.ID))
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Empty(t, retryAfter)
+
+	follower := &electedStore{Memory: store.NewMemory()}
+	follower.term.Store(1)
+	service, c := serve(t, n, follower, nil)
+	service.MemberAddresses = nil
+	require.Equal(t, http.StatusOK, c.upload(inputLines(1), &file))
+	follower.term.Store(0)
+	status, retryAfter = c.create(fmt.Sprintf(create, file.ID))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, retryAfter)
+}
--- a/internal/batch/batch_handlers.go
+++ b/internal/batch/batch_handlers.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"standpoint/internal/store"
 )
 
@@ -50,12 +52,23 @@
 	if err == nil {
 		_, err = s.Store.Write(r.Context(), store.Op{Key: batchKey(b.ID), Data: raw})
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		notify(s.wake)
+		writeJSON(w, http.StatusOK, b)
+	case store.NotApplied(err):
 		s.writeStoreError(w, err)
-		return
+	default:
+		s.writeUncertainCreation(w, b.ID, err)
 	}
-	notify(s.wake)
-	writeJSON(w, http.StatusOK, b)
+}
+
+// writeUncertainCreation responds to a request to create a batch whose write may have been carried out. Status 503 or a
+// Retry-After would promise that a retry is harmless, but it could run every line a second time.
+func (s *Service) writeUncertainCreation(w http.ResponseWriter, id string, err error) {
+	s.Log.Warn("creation of a batch is uncertain", zap.String("batch", id), zap.Error(err))
+	writeError(w, http.StatusInternalServerError, serverError, "",
+		fmt.Sprintf("it is unknown whether batch %q was created; look for it before a retry: %v", id, err))
 }
 
 // checkCreate returns the completion window of a request that creates a batch, or the invalid parameter and an error
--- a/internal/batch/fixture_test.go
+++ b/internal/batch/fixture_test.go
@@ -122,6 +122,15 @@
 	return b
 }
 
+// create asks for a batch, and returns the status of the response and its Retry-After.
+func (c *client) create(body string) (status int, retryAfter string) {
+	c.t.Helper()
+	response, err := http.Post(c.url+"/v1/batches", "application/json", strings.NewReader(body))
+	require.NoError(c.t, err)
+	defer response.Body.Close()
+	return response.StatusCode, response.Header.Get("Retry-After")
+}
+
 // wait polls a batch until it is over.
 func (c *client) wait(id string, timeout time.Duration) batch.Batch {
 	c.t.Helper()
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -74,7 +74,8 @@
 	writeError(w, http.StatusNotFound, invalidRequest, "id", fmt.Sprintf("no such %s: %q", object, id))
 }
 
-// writeStoreError responds to a request whose write the store did not carry out.
+// writeStoreError responds to a request whose write failed, and which a client may retry without harm even if the store
+// has carried it out.
 func (s *Service) writeStoreError(w http.ResponseWriter, err error) {
 	s.Log.Warn("store write failed", zap.Error(err))
 	w.Header().Set("Retry-After", retryAfterSeconds)
--- a/internal/store/golden_test.go
+++ b/internal/store/golden_test.go
@@ -28,7 +28,7 @@
 	})
 
 	var index atomic.Uint64
-	machine := stateMachine{newKeyspace(), &index}
+	machine := stateMachine{newKeyspace(), &index, newResultHistory()}
 	require.NoError(t, machine.Restore(io.NopCloser(bytes.NewReader(golden.Read(t, "snapshot.json", nil)))))
 	require.Equal(t, Value{Data: []byte("a document"), Version: 8}, machine.Get("config/shared"))
 	require.EqualValues(t, 12, index.Load())
@@ -101,7 +101,7 @@
 func TestGoldenErrorTexts(t *testing.T) {
 	_, conflict := NewMemory().Write(t.Context(), Op{Key: "a/key", Data: []byte("1"), ExpectedVersion: 4})
 	var index atomic.Uint64
-	machine := stateMachine{newKeyspace(), &index}
+	machine := stateMachine{newKeyspace(), &index, newResultHistory()}
 	applied := machine.Apply(&raft.Log{Index: 5, Data: []byte("{")}).(applyResult)
 	restored := machine.Restore(io.NopCloser(strings.NewReader("[")))
 
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -62,6 +62,7 @@
 	bytesSent        *atomic.Int64 // bytes written to other members
 	lastIndexAtStart uint64        // index of the last write in the log, but in no snapshot, at start-up; 0 if none
 	appliedIndex     atomic.Uint64 // index of the last log entry included in the keys
+	results          *resultHistory
 
 	closed     chan struct{} // stops trackLeadership when closed
 	background sync.WaitGroup
@@ -76,7 +77,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("store.listen: %w", err)
 	}
-	r := &Raft{keyspace: newKeyspace(), bytesSent: &atomic.Int64{}, closed: make(chan struct{})}
+	r := &Raft{
+		keyspace:  newKeyspace(),
+		bytesSent: &atomic.Int64{},
+		results:   newResultHistory(),
+		closed:    make(chan struct{}),
+	}
 	layer := countingStreamLayer{Listener: listener, bytesWritten: r.bytesSent, dialAddresses: o.dialAddresses()}
 	transport := raft.NewNetworkTransport(layer, connectionPoolSize, applyTimeout, o.LogOutput)
 	if err := r.start(o, transport); err != nil {
@@ -148,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	fsm := stateMachine{r.keyspace, &r.appliedIndex}
+	fsm := stateMachine{r.keyspace, &r.appliedIndex, r.results}
 	if r.raft, err = raft.NewRaft(options.config(), fsm, log, stable, snapshots, transport); err != nil {
 		return err
 	}
@@ -209,8 +215,9 @@
 	return string(id)
 }
 
-// Write implements Store. It returns once the write is applied at this member. ctx is checked only before the write
-// begins: a write that is in the log cannot be withdrawn.
+// Write implements Store. It returns once the write is applied at this member. A write that is in the log cannot be
+// withdrawn: ctx is checked before the write begins, and bounds the wait for its outcome if this member loses its
+// leadership meanwhile.
 func (r *Raft) Write(ctx context.Context, ops ...Op) (uint64, error) {
 	if err := ctx.Err(); err != nil {
 		return 0, err
@@ -223,11 +230,15 @@
 		return 0, err
 	}
 	future := r.raft.Apply(raw, applyTimeout)
-	if err := future.Error(); err != nil {
-		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) {
-			return 0, fmt.Errorf("%w: %v", ErrNotLeader, err)
-		}
-		return 0, fmt.Errorf("store: %w", err)
+	switch err := future.Error(); {
+	case err == nil:
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout),
+		errors.Is(err, raft.ErrLeadershipLost) && future.Index() == 0: // the write never was in the log
+		return 0, fmt.Errorf("%w: %w", ErrNotLeader, err)
+	case errors.Is(err, raft.ErrLeadershipLost):
+		return r.resolve(ctx, future.Index(), raw)
+	default:
+		return 0, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	result := future.Response().(applyResult)
 	return result.version, result.err
--- a/internal/store/state_machine.go
+++ b/internal/store/state_machine.go
@@ -14,6 +14,7 @@
 type stateMachine struct {
 	*keyspace
 	appliedIndex *atomic.Uint64 // index of the last log entry included in the keys
+	results      *resultHistory
 }
 
 // applyResult is the result of Apply for one entry, which the leader returns to the writer.
@@ -25,6 +26,13 @@
 // Apply implements raft.FSM. An entry that cannot be decoded changes nothing, on any member.
 func (m stateMachine) Apply(entry *raft.Log) any {
 	defer m.appliedIndex.Store(entry.Index)
+	result := m.applyOps(entry)
+	m.results.add(entry.Index, result)
+	return result
+}
+
+// applyOps applies the operations of an entry.
+func (m stateMachine) applyOps(entry *raft.Log) applyResult {
 	var ops []Op
 	if err := json.Unmarshal(entry.Data, &ops); err != nil {
 		return applyResult{err: fmt.Errorf("entry %d of the log cannot be read: %w", entry.Index, err)}
--- a/internal/store/state_machine_test.go
+++ b/internal/store/state_machine_test.go
@@ -14,7 +14,7 @@
 // it never applied the single writes. An entry that cannot be decoded returns an error and still counts as applied.
 func TestCaughtUpBySnapshot(t *testing.T) {
 	var index, restoredIndex atomic.Uint64
-	m := stateMachine{newKeyspace(), &index}
+	m := stateMachine{newKeyspace(), &index, newResultHistory()}
 	m.Apply(&raft.Log{Index: 7, Data: []byte(`[{"key":"a","data":"MQ==","if":0}]`)})
 	result := m.Apply(&raft.Log{Index: 8, Data: []byte(`[{"key":`)}).(applyResult)
 	require.ErrorContains(t, result.err, "entry 8 of the log cannot be read")
@@ -22,7 +22,7 @@
 	snapshot, err := m.Snapshot()
 	require.NoError(t, err)
 	encoded := snapshot.(encodedSnapshot)
-	restored := stateMachine{newKeyspace(), &restoredIndex}
+	restored := stateMachine{newKeyspace(), &restoredIndex, newResultHistory()}
 	require.NoError(t, restored.Restore(io.NopCloser(bytes.NewReader(encoded))))
 	require.Equal(t, "1", string(restored.Get("a").Data))
 	require.EqualValues(t, 8, restoredIndex.Load())
@@ -39,7 +39,7 @@
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var index atomic.Uint64
-		m := stateMachine{newKeyspace(), &index}
+		m := stateMachine{newKeyspace(), &index, newResultHistory()}
 		m.Apply(&raft.Log{Index: 1, Data: raw})
 		if index.Load() != 1 {
 			t.Fatal("the entry does not count as applied")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,8 +13,10 @@
 	// ErrConflict is returned by a write whose expected version of a key is not the current one. Nothing was written.
 	// It is wrapped by a *ConflictError, which names the key.
 	ErrConflict = errors.New("store: the key has changed meanwhile")
-	// ErrNotLeader is returned by a write to a member that is not the leader.
+	// ErrNotLeader is returned by a write to a member that is not the leader. Nothing was written and nothing will be.
 	ErrNotLeader = errors.New("store: this member does not lead")
+	// ErrUnknownOutcome is returned by a write that may have been applied, or may yet be.
+	ErrUnknownOutcome = errors.New("store: unknown whether the write was applied")
 )
 
 // ConflictError names the key whose version was not the expected one. It wraps ErrConflict.
@@ -52,8 +54,8 @@
 	Get(key string) Value
 	// List returns the keys that begin with prefix, sorted.
 	List(prefix string) []string
-	// Write applies all ops or none, and returns the new version of their keys. After an error other than a
-	// *ConflictError or ErrNotLeader, it is unknown whether the write was applied.
+	// Write applies all ops or none, and returns the new version of their keys. Unless NotApplied reports true of its
+	// error, it is unknown whether the write was applied.
 	Write(ctx context.Context, ops ...Op) (version uint64, err error)
 	// Leadership returns the term in which this member is the leader and may write; leads is false if it may not. No
 	// two leaderships share a term.
