Sessions: a resumed answer is interrupted if its end cannot be recorded

A call without an answer was read as if nothing depended on it.

Cause: hook.Stopped ignored that recordEnd had failed, and Finished released the claim.

Change: Hook.Stopped returns an error then, and the answer is interrupted, as hook.Event does at [DONE]; the key gives its one whole answer later, or is refused.

Test, on the code before (with its signature of Stopped): TestUnrecordedEndInterruptsTheAnswer failed for both kinds of call ("the answer is completed"). Now it passes with the race detector, as does the package.

--- a/internal/fleet/session/service/hook.go
+++ b/internal/fleet/session/service/hook.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -220,35 +221,41 @@
 	return tokensOf(characters)
 }
 
+// errEndNotRecorded is returned for a resumed session whose end could not be recorded.
+var errEndNotRecorded = errors.New("end of the resumed session not recorded")
+
 // Stopped implements node.Hook: the decoding has stopped at a call. If the session cannot be recorded, the client gets
 // the call without a resume key, and has to send the whole conversation again with the call's result.
-func (h *hook) Stopped() ([]byte, node.Usage) {
+func (h *hook) Stopped() (last []byte, usage node.Usage, err error) {
 	produced := h.producedTokens()
-	usage := node.Usage{Known: true, Started: true, OutputTokens: produced}
-	last := fmt.Appendf(nil, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%.0f,\"completion_tokens\":%.0f}}\n\n"+
+	usage = node.Usage{Known: true, Started: true, OutputTokens: produced}
+	last = fmt.Appendf(nil, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%.0f,\"completion_tokens\":%.0f}}\n\n"+
 		"data: [DONE]\n\n", h.request.PromptTokens, produced)
 	if h.rejectedTool != "" {
-		if h.resumed() {
-			h.recordEnd()
-		}
-		return last, usage
+		return last, usage, h.endStopped()
 	}
 	key, deadline, err := h.pause(produced)
 	if err != nil {
 		h.service.Unrecorded.Add(1)
 		h.service.Log.Info("pause not recorded", zap.Error(err))
-		if h.resumed() {
-			// The session must not be resumed from its previous pause either: only the client has the text produced
-			// after it.
-			h.recordEnd()
-		}
-		return last, usage
+		// The session must not be resumed from its previous pause either: only the client has the text produced after
+		// it.
+		return last, usage, h.endStopped()
 	}
 	h.service.Paused.Add(1)
 	h.paused = true
 	resume := fmt.Appendf(nil, "data: {\"choices\":[],\"standpoint\":{\"resume\":%q,\"within_ms\":%d}}\n\n",
 		key, time.Until(deadline).Milliseconds())
-	return append(resume, last...), usage
+	return append(resume, last...), usage, nil
+}
+
+// endStopped records the end of a resumed session whose response ends without a further pause. If that fails, the
+// response must not be completed: the claim is released, and its key leads to another one.
+func (h *hook) endStopped() error {
+	if h.resumed() && !h.recordEnd() {
+		return errEndNotRecorded
+	}
+	return nil
 }
 
 // recordBegin records that output is being forwarded to the client. A failure has no consequences: the claim protects the
--- a/internal/fleet/session/service/hook_test.go
+++ b/internal/fleet/session/service/hook_test.go
@@ -31,7 +31,8 @@
 		if strings.Contains(tools, "pay") {
 			require.NotContains(t, string(passed), "tool_calls", "a rejected call is not forwarded")
 			require.Contains(t, string(passed), "pay may not be called")
-			last, _ := h.Stopped()
+			last, _, err := h.Stopped()
+			require.NoError(t, err)
 			require.Empty(t, resumeKeyIn(last))
 			require.Contains(t, string(last), "[DONE]")
 			continue
--- a/internal/fleet/session/service/resume_test.go
+++ b/internal/fleet/session/service/resume_test.go
@@ -81,7 +81,8 @@
 	h := resumed.Hook(backend, func() {})
 	_, then := h.Event([]byte(contentEvent("and ") + callEvents("hours")))
 	require.Equal(t, node.HookStop, then)
-	last, _ := h.Stopped()
+	last, _, err := h.Stopped()
+	require.NoError(t, err)
 	h.Finished(node.Answer{Kind: node.Served})
 	second := resumeKeyIn(last)
 	require.NotEmpty(t, second)
@@ -119,7 +120,8 @@
 	h := resumed.Hook(func() string { return "box" }, func() {})
 	_, action := h.Event([]byte(contentEvent("and ") + callEvents("hours")))
 	require.Equal(t, node.HookStop, action)
-	last, _ := h.Stopped()
+	last, _, err := h.Stopped()
+	require.NoError(t, err)
 	key := resumeKeyIn(last)
 	require.NotEmpty(t, key)
 	close(paused)
@@ -233,3 +235,36 @@
 	}
 	require.Empty(t, c.monitor.Violations())
 }
+
+// Guards against a key that gives two whole answers: a resumed response that comes to its next call while no leader can
+// be reached is not completed, whether the call pauses the session or is rejected, since the end of the session cannot
+// be recorded. The key then gives its one answer.
+func TestUnrecordedEndInterruptsTheAnswer(t *testing.T) {
+	t.Parallel()
+	for _, tool := range []string{"hours", "pay"} {
+		t.Run(tool, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, nil)
+			key := c.pause(t, 0, "hours")
+			resumed, rejection := c.nodes[0].Resume(t.Context(), key, "q", 2, resultsFor("c0"))
+			require.Nil(t, rejection)
+			h := resumed.Hook(noBackend, func() {})
+			c.leaderless.Store(true)
+			_, action := h.Event([]byte(contentEvent("and ") + callEvents(tool)))
+			require.Equal(t, node.HookStop, action)
+			_, _, err := h.Stopped()
+			require.ErrorIs(t, err, errEndNotRecorded)
+			c.leaderless.Store(false)
+			h.Finished(node.Answer{Kind: node.Interrupted})
+			require.Eventually(t, func() bool {
+				resumed, _ = c.nodes[0].Resume(t.Context(), key, "again", 2, resultsFor("c0"))
+				return resumed != nil
+			}, 10*time.Second, 10*time.Millisecond)
+			h = resumed.Hook(noBackend, func() {})
+			_, action = h.Event([]byte(contentEvent("done") + "data: [DONE]\n\n"))
+			require.Equal(t, node.HookContinue, action)
+			h.Finished(node.Answer{Kind: node.Served})
+			requireRejected(t, c.nodes[0], key, 2, resultsFor("c0"), 409, false)
+		})
+	}
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -132,7 +132,10 @@
 // ForwardStopped forwards the end of an answer whose decoding the hook has stopped. It must be called after the
 // attempt's last use of its connection.
 func (a *Attempt) ForwardStopped() Result {
-	last, usage := a.Request.Hook.Stopped()
+	last, usage, err := a.Request.Hook.Stopped()
+	if err != nil {
+		return Result{Code: standpoint.Cancelled, OutputTokens: usage.OutputTokens}
+	}
 	if err := a.Request.connection.Event(last); err != nil {
 		return Result{Code: standpoint.Cancelled}
 	}
--- a/internal/node/hook.go
+++ b/internal/node/hook.go
@@ -17,8 +17,9 @@
 type Hook interface {
 	// Event inspects complete events and returns the events to forward in their place.
 	Event(events []byte) (forward []byte, action HookAction)
-	// Stopped is called once decoding has stopped because of HookStop. It returns the events that end the answer.
-	Stopped() (last []byte, usage Usage)
+	// Stopped is called once decoding has stopped because of HookStop. It returns the events that end the answer. After an
+	// error the answer must not be completed, and is interrupted.
+	Stopped() (last []byte, usage Usage, err error)
 	// Finished is called with the request's final answer.
 	Finished(answer Answer)
 }
