Daemon: components end one by one, so that the ledger has the usage of the last answers

Cause: one context ended all components at once, and stop released their resources without waiting for run to return; the ledger's files were closed while its writer gathered.

Evidence: "ledger write failed ... file already closed" at the stop.

Change: the last constructed component ends first; its run returns and its resources are released before the next one ends. The wait is bounded to 1 s in all, and a component that is still running then is named in the log.

--- a/internal/daemon/assembly.go
+++ b/internal/daemon/assembly.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -33,19 +34,27 @@
 	// start is called once all components are constructed, before any of them runs and before clients are accepted. It
 	// returns early when the context ends, which is when the process receives a signal to stop.
 	start func(context.Context)
-	// run blocks until its context ends, which is after the process has drained; that of the control interface blocks
-	// until stop instead.
-	run func(context.Context)
+	// run blocks until its context ends, which is after the process has drained and after the components constructed
+	// later have ended. With runsUntilStop set, it blocks until stop instead.
+	run           func(context.Context)
+	runsUntilStop bool
 	// check returns an error if the component cannot apply a deployment. No component reloads before every check has
 	// passed.
 	check func(next deployment) error
 	// reload applies a deployment for which check returned no error.
 	reload func(next deployment)
-	// stop releases the resources that the component has opened. Components stop in the reverse order of their
-	// construction.
+	// stop releases the resources that the component has opened, once run has returned. Components stop in the reverse
+	// order of their construction.
 	stop func() error
+
+	// The following fields are set while run is running.
+	cancel context.CancelFunc
+	ended  chan struct{} // closed when run has returned
 }
 
+// componentsStopTimeout bounds the total wait for the components to return from run.
+const componentsStopTimeout = time.Second
+
 // constructor constructs a component, which may use the components constructed before it. If the deployment does not
 // need the component, the result has the name "".
 type constructor func(*assembly) (component, error)
@@ -206,24 +215,32 @@
 	}
 }
 
-// runComponents runs each component in a goroutine of its own until the context ends.
-func (a *assembly) runComponents(ctx context.Context) {
-	for _, c := range a.components {
-		if c.run != nil {
-			go c.run(ctx)
+// runComponents runs each component in a goroutine of its own until stop.
+func (a *assembly) runComponents() {
+	for i := range a.components {
+		c := &a.components[i]
+		if c.run == nil {
+			continue
 		}
+		ctx, cancel := context.WithCancel(context.Background())
+		c.cancel = cancel
+		c.ended = make(chan struct{})
+		go func() {
+			defer close(c.ended)
+			c.run(ctx)
+		}()
 	}
 }
 
-// stop stops the components, the last constructed first, and joins their errors.
+// stop ends the components, the last constructed first, and joins their errors. A component ends only once those that
+// use it have returned from run: what they still hand over, such as usage to the ledger, is complete.
 func (a *assembly) stop() error {
+	deadline, cancel := context.WithTimeout(context.Background(), componentsStopTimeout)
+	defer cancel()
 	var errs []error
 	for i := len(a.components) - 1; i >= 0; i-- {
-		c := a.components[i]
-		if c.stop == nil {
-			continue
-		}
-		if err := c.stop(); err != nil {
+		c := &a.components[i]
+		if err := c.end(deadline); err != nil {
 			errs = append(errs, fmt.Errorf("%s: %w", c.name, err))
 		}
 	}
@@ -231,6 +248,37 @@
 	return errors.Join(errs...)
 }
 
+// errStillRunning is returned for a component that has not returned from run in time.
+var errStillRunning = errors.New("still running")
+
+// end ends the component. It waits at most until the deadline context ends, and releases the resources in any case.
+func (c *component) end(deadline context.Context) error {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	var errs []error
+	if c.cancel != nil && !c.runsUntilStop {
+		errs = append(errs, c.awaitEnd(deadline))
+	}
+	if c.stop != nil {
+		errs = append(errs, c.stop())
+	}
+	if c.cancel != nil && c.runsUntilStop {
+		errs = append(errs, c.awaitEnd(deadline))
+	}
+	return errors.Join(errs...)
+}
+
+// awaitEnd waits until run has returned.
+func (c *component) awaitEnd(deadline context.Context) error {
+	select {
+	case <-c.ended:
+		return nil
+	case <-deadline.Done():
+		return errStillRunning
+	}
+}
+
 // runTogether returns a function that runs the given functions concurrently, and returns when all have returned.
 func runTogether(functions ...func(context.Context)) func(context.Context) {
 	return func(ctx context.Context) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,8 +47,9 @@
 		return component{}, err
 	}
 	return component{
-		name: "control",
-		run: func(context.Context) { // returns after stop
+		name:          "control",
+		runsUntilStop: true,
+		run: func(context.Context) {
 			if err := server.Serve(); err != nil {
 				a.log.Error("control server failed", zap.Error(err))
 			}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -74,10 +74,8 @@
 			return err
 		}
 	}
-	running, endComponents := context.WithCancel(context.Background())
-	defer endComponents()
 	a.startComponents(stop)
-	a.runComponents(running)
+	a.runComponents()
 	a.awaitEndpoints(stop)
 	a.restoreLearned(stop, started)
 	if listener == nil { // not earlier: clients that connect before the process serves might wait until their deadline
