Edge: a pipelined request of which a part has arrived is answered while a node drains

What callers saw: a client that sends requests behind an open one got 408, 400 or a close without an answer for one of which bytes had been read.

Cause: three places answered "is there a further request?" from what one goroutine had read so far. The deadline of a requested close stayed, since net/http sets its read timeout where a zero time was expected; "Connection: close" was decided when a request was read, before the next one arrived; and what net/http holds in its buffer was not counted.

Evidence: a trace of the reads, deadlines and closes of failing connections shows the first two, 408 and 400 for the first, closes without an answer for the second.

Change: a further deadline, or a byte read ahead, means that a request has begun; requestFramer counts the requests that have begun; whether a response closes the connection is decided again as its head is written, with a look at the socket.

--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -107,6 +107,9 @@
 	if err != nil {
 		answer = node.Answer{Kind: node.Rejected, RetryAfter: busyRetryAfter}
 	}
+	if conn != nil && answer.Kind != node.Moved {
+		conn.keepIfPipelined(w.Header())
+	}
 	switch answer.Kind {
 	case node.Served:
 		// The last chunk gets the full write timeout, however long the client stalled before.
--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -41,23 +41,39 @@
 	closing        bool      // the tracker has requested its close, and evicts no further connection in its place
 	stopped        bool      // closed because the node stops
 
-	mu             sync.Mutex         // guards the fields below
-	requestBegun   bool               // a byte of a request has been read, and the request has not ended
-	closeRequested bool               // the connection closes unless a byte is read first
-	readDeadline   time.Time          // the server's read deadline; zero if there is none
-	onDisconnect   context.CancelFunc // called when the client of the open request disconnects; nil if none is open
-	buffered       []byte             // bytes read behind the open request
-	readErr        error              // error that Read returns after buffered
-	readAheadDone  chan struct{}      // closed when the goroutine that reads ahead has ended; nil if there is none
+	mu             sync.Mutex // guards the fields below
+	requestBegun   bool       // a byte of a request has been read, and the request has not ended
+	nextBegun      bool       // a byte of the request behind the open one has been read ahead
+	framer         requestFramer
+	finished       int       // requests that have ended
+	closeRequested bool      // the connection closes unless a byte is read first
+	readDeadline   time.Time // the server's read deadline; zero if there is none
+	// deadlineSet is set once the server has set a deadline for the wait for a request. It sets the next one when it has
+	// got the first bytes, which it may have held already, or got of those that were read ahead.
+	deadlineSet   bool
+	onDisconnect  context.CancelFunc // called when the client of the open request disconnects; nil if none is open
+	buffered      []byte             // bytes read behind the open request
+	readErr       error              // error that Read returns after buffered
+	readAheadDone chan struct{}      // closed when the goroutine that reads ahead has ended; nil if there is none
 }
 
 // Read implements net.Conn. During an open request, net/http reads one byte to detect that the client disconnects.
 // After it has got a byte it stops reading, and would miss a later disconnect. clientConn then reads ahead itself.
 func (c *clientConn) Read(b []byte) (int, error) {
 	c.stopReadAhead()
-	if n, err := c.readBuffered(b); n > 0 || err != nil {
-		return n, err
+	n, err := c.readBuffered(b)
+	if n == 0 && err == nil {
+		n, err = c.readSocket(b)
 	}
+	c.observe(b[:n], n == 1 && len(b) == 1)
+	if n == 1 && len(b) == 1 {
+		c.startReadAhead()
+	}
+	return n, err
+}
+
+// readSocket reads from the socket.
+func (c *clientConn) readSocket(b []byte) (int, error) {
 	n, err := transient.Read(c.Conn, b)
 	if n > 0 {
 		c.markRequestBegun()
@@ -65,12 +81,17 @@
 	}
 	c.head.observe(b[:n])
 	c.recordReadError(err)
-	if n == 1 && len(b) == 1 {
-		c.startReadAhead()
-	}
 	return n, err
 }
 
+// observe records bytes that the server has got. behind is set if they follow the open request.
+func (c *clientConn) observe(read []byte, behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.framer.observe(read)
+	c.nextBegun = c.nextBegun || behind
+}
+
 // recordReadError records whether a read failed because of a deadline or because the client closed the connection.
 func (c *clientConn) recordReadError(err error) {
 	switch {
@@ -93,26 +114,31 @@
 }
 
 // SetReadDeadline implements net.Conn. While a close is requested, the server's deadline is stored but not set. A zero
-// time means that the server has started on a request, whose bytes may have been read ahead during the one before.
+// time, or any but the first deadline of the wait for a request, means that the server has started on a request, whose
+// bytes may have been read ahead during the one before.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if t.IsZero() {
+	if t.IsZero() || c.deadlineSet {
 		c.requestBegun = true
 		c.closeRequested = false
 	}
+	c.deadlineSet = true
 	if c.closeRequested {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// requestFinished records that the request has ended.
+// requestFinished records that the request has ended. The next one may have begun.
 func (c *clientConn) requestFinished() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestBegun = false
+	c.finished++
+	c.requestBegun = c.nextBegun || len(c.buffered) > 0 || c.framer.begun > c.finished
+	c.nextBegun = false
+	c.deadlineSet = false
 }
 
 // closeIfIdle requests the close of the connection if no byte of a request has been read, and reports whether it did
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -17,6 +17,9 @@
 // chatPath is the URL path of chat requests.
 const chatPath = "/v1/chat/completions"
 
+// connectionHeader is the header that tells the client that its connection is closed after the response.
+const connectionHeader = "Connection"
+
 // Front serves clients. Its exported fields are set before Handler is called and do not change afterwards. It is safe
 // for concurrent use.
 type Front struct {
@@ -98,11 +101,11 @@
 // connections that stay open.
 func (f *Front) setConnectionHeader(w http.ResponseWriter, r *http.Request, phase node.Phase) {
 	conn, tracked := clientConnOf(r)
-	switch {
-	case phase <= node.Serving:
-	case tracked && conn.pipelined(): // the next request has been read already, and would get no response
-		w.Header().Del("Connection")
-	default:
-		w.Header().Set("Connection", "close")
+	if phase <= node.Serving {
+		return
+	}
+	w.Header().Set(connectionHeader, "close")
+	if tracked {
+		conn.keepIfPipelined(w.Header())
 	}
 }
--- a/internal/edge/pipelining_test.go
+++ b/internal/edge/pipelining_test.go
@@ -103,3 +103,71 @@
 	require.Equal(t, events, strings.Count(body, "yyy\""))
 	require.Contains(t, body, "[DONE]")
 }
+
+// TestPipelinedRequestInPartIsAnswered guards against a pipelined request that is answered 408, or not at all, because
+// only a part of it has been read when its connection is asked to close: it is read completely and gets its response.
+func TestPipelinedRequestInPartIsAnswered(t *testing.T) {
+	t.Parallel()
+	for name, part := range map[string]int{"one byte": 1, "three bytes": 3, "a part of the head": 60, "a part of the body": 9 << 10} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			received, release := make(chan struct{}, 2), make(chan struct{})
+			n := startWithBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				received <- struct{}{}
+				<-release
+				respondAlways(w, r)
+			})
+			conn := n.Dial()
+			reader := bufio.NewReader(conn)
+			_, err := conn.Write(rawRequest(t, n, 10, nil))
+			require.NoError(t, err)
+			<-received
+			next := rawRequest(t, n, 20<<10, nil)
+			_, err = conn.Write(next[:part])
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return n.Connections.Pipelined() == 1 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // until all of it has been read
+			require.NoError(t, n.Lifecycle.Enter(node.Draining))
+			drained := make(chan error, 1)
+			go func() { drained <- n.Connections.Drain(t.Context()) }()
+			time.Sleep(30 * time.Millisecond) // until connections close after their responses
+			close(release)
+			status, _ := readResponse(t, conn, reader)
+			require.Equal(t, http.StatusOK, status)
+			time.Sleep(30 * time.Millisecond) // until the connection would have been closed
+			_, err = conn.Write(next[part:])
+			require.NoError(t, err)
+			status, _ = readResponse(t, conn, reader)
+			require.Equal(t, http.StatusOK, status)
+			require.NoError(t, <-drained)
+		})
+	}
+}
+
+// TestPipelinedRequestAfterTheCloseWasDecided guards against a pipelined request that is closed without a response: it
+// arrives after the response to the request before it was to close the connection, and before that response begins.
+func TestPipelinedRequestAfterTheCloseWasDecided(t *testing.T) {
+	t.Parallel()
+	received, release := make(chan struct{}, 2), make(chan struct{})
+	n := startWithBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		received <- struct{}{}
+		<-release
+		respondAlways(w, r)
+	})
+	require.NoError(t, n.Lifecycle.Enter(node.Draining))
+	conn := n.Dial()
+	reader := bufio.NewReader(conn)
+	_, err := conn.Write(rawRequest(t, n, 10, nil))
+	require.NoError(t, err)
+	<-received
+	_, err = conn.Write(rawRequest(t, n, 10, nil))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond) // until it has arrived
+	close(release)
+	for range 2 {
+		status, _ := readResponse(t, conn, reader)
+		require.Equal(t, http.StatusOK, status)
+	}
+}
--- a/internal/edge/read_ahead.go
+++ b/internal/edge/read_ahead.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"time"
 
+	"standpoint/internal/backend"
 	"standpoint/internal/transient"
 )
 
@@ -100,7 +102,20 @@
 func (c *clientConn) pipelined() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readAheadDone != nil || len(c.buffered) > 0
+	return c.readAheadDone != nil || len(c.buffered) > 0 || c.framer.begun > c.finished+1
+}
+
+// keepIfPipelined removes the header by which the response closes the connection if the client has sent a further
+// request, which would get no response. It is called just before the header is written, since bytes may have arrived
+// after the request was read.
+func (c *clientConn) keepIfPipelined(header http.Header) {
+	if header.Get(connectionHeader) == "" {
+		return
+	}
+	unread, _ := backend.UnreadBytes(c.Conn) // an error means that nothing has arrived
+	if unread > 0 || c.pipelined() {
+		header.Del(connectionHeader)
+	}
 }
 
 // discardBuffered drops the bytes that were read ahead when the connection closes.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -48,6 +48,9 @@
 // Begin implements node.ClientConnection: it writes the head of the response.
 func (s *clientStream) Begin() error {
 	s.w.Header().Set("Content-Type", "text/event-stream")
+	if s.conn != nil {
+		s.conn.keepIfPipelined(s.w.Header())
+	}
 	s.w.WriteHeader(http.StatusOK)
 	return nil
 }
