Edge: an empty line behind a body does not begin a request; comments wrapped

A client that sends an empty line behind each body would have made a drain wait for its connection, since a byte behind the open request counted as the start of the next one (since "a pipelined request of which a part has arrived"). Bytes between two requests begin one only if they are more than line ends.

TestEmptyLineBehindARequest fails without it ("the drain still waits 2 s after the response") and passes five times with it; all TestPipelined* pass.

--- a/internal/backend/batch_lookup.go
+++ b/internal/backend/batch_lookup.go
@@ -31,9 +31,10 @@
 }
 
 // resolveCreation finds out whether the backend has created a batch of the file, after a call to do so that may have
-// taken effect. It returns the batch, or the result of the file's attempts and an error. Only if the batch is not listed
-// after its input file was deleted, so that none can be created any more, have the attempts not run. They are unresolved
-// if the backend cannot list its batches, or if nothing is certain after the time after which it counts as lost.
+// taken effect. It returns the batch, or the result of the file's attempts and an error. Only if the batch is not
+// listed after its input file was deleted, so that none can be created any more, have the attempts not run. They are
+// unresolved if the backend cannot list its batches, or if nothing is certain after the time after which it counts as
+// lost.
 func (b *batchBackend) resolveCreation(
 	base string, file *batchFile, cause error,
 ) (created batchObject, result node.Result, err error) {
--- a/internal/backend/batch_run.go
+++ b/internal/backend/batch_run.go
@@ -81,8 +81,8 @@
 	return nil
 }
 
-// fetchContent fetches the content of a file. A call that got no usable response is repeated until the backend counts as
-// lost: the lines have run, and would run again without their results.
+// fetchContent fetches the content of a file. A call that got no usable response is repeated until the backend counts
+// as lost: the lines have run, and would run again without their results.
 func (b *batchBackend) fetchContent(base, id string) ([]byte, error) {
 	began := time.Now()
 	for {
@@ -220,9 +220,9 @@
 	}
 }
 
-// lostBatchResult returns the result of the attempts of a batch whose backend counts as lost. They are over if no process
-// listens at its address, or if the one that does knows no such batch. A backend that is out of reach or overloaded may
-// still run them.
+// lostBatchResult returns the result of the attempts of a batch whose backend counts as lost. They are over if no
+// process listens at its address, or if the one that does knows no such batch. A backend that is out of reach or
+// overloaded may still run them.
 func lostBatchResult(err error) node.Result {
 	ended := isServerProcessGone(err) || responseStatus(err) == http.StatusNotFound
 	return node.Result{Code: standpoint.ConnectionLost, Unresolved: !ended}
--- a/internal/backend/golden_test.go
+++ b/internal/backend/golden_test.go
@@ -9,8 +9,8 @@
 	"standpoint/internal/testpeer/golden"
 )
 
-// The JSON form of a stream that one process hands over to another, as other builds read and write it. The tenant's index
-// is not part of it.
+// The JSON form of a stream that one process hands over to another, as other builds read and write it. The tenant's
+// index is not part of it.
 func TestGoldenStream(t *testing.T) {
 	golden.RoundTrip(t, "stream.json", Stream{
 		Trace:         "t-1",
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -14,8 +14,8 @@
 	"standpoint/internal/node"
 )
 
-// streamTransfer describes a stream that is passed to a sibling. It has the names of the class and of the tenant and not
-// their indexes, since the sibling's configuration may list them in another order.
+// streamTransfer describes a stream that is passed to a sibling. It has the names of the class and of the tenant and
+// not their indexes, since the sibling's configuration may list them in another order.
 type streamTransfer struct {
 	Class  string          `json:"class"`
 	Tenant string          `json:"tenant,omitempty"` // empty if there is none, or if an older version passes the stream
--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -24,8 +24,8 @@
 }
 
 // Adopt continues a response that another process of this node has begun, until its end. run carries the attempt, as
-// for node.Core.Adopt. Adopt closes the connection at the end, since the HTTP server does not serve it; the client opens
-// another one for its next request.
+// for node.Core.Adopt. Adopt closes the connection at the end, since the HTTP server does not serve it; the client
+// opens another one for its next request.
 func (f *Front) Adopt(ctx context.Context, response AdoptedResponse, run func(*node.Attempt)) {
 	client := response.Client
 	defer client.Close()
--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -89,7 +89,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.framer.observe(read)
-	c.nextBegun = c.nextBegun || behind
+	c.nextBegun = c.nextBegun || behind && beginsRequest(read)
 }
 
 // recordReadError records whether a read failed because of a deadline or because the client closed the connection.
@@ -136,7 +136,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.finished++
-	c.requestBegun = c.nextBegun || len(c.buffered) > 0 || c.framer.begun > c.finished
+	c.requestBegun = c.nextBegun || beginsRequest(c.buffered) || c.framer.begun > c.finished
 	c.nextBegun = false
 	c.deadlineSet = false
 }
--- a/internal/edge/pipelining_test.go
+++ b/internal/edge/pipelining_test.go
@@ -16,6 +16,21 @@
 	"standpoint/internal/testpeer"
 )
 
+// startHolding starts a node whose backend holds its responses back until release is closed. received gets a value for
+// each of the given number of requests.
+func startHolding(t *testing.T, requests int) (n *testpeer.Node, received, release chan struct{}) {
+	t.Helper()
+	received = make(chan struct{}, requests)
+	release = make(chan struct{})
+	n = startWithBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		received <- struct{}{}
+		<-release
+		respondAlways(w, r)
+	})
+	return n, received, release
+}
+
 // TestPipelinedRequestsAreAnsweredInTurn guards against the loss of pipelined requests, which are sent before the
 // responses to the earlier ones: requests of various sizes, sent in pieces, get their responses in order, also while
 // the node shuts down.
@@ -32,13 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			received, release := make(chan struct{}, len(test.sizes)), make(chan struct{})
-			n := startWithBackend(t, func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				received <- struct{}{}
-				<-release
-				respondAlways(w, r)
-			})
+			n, received, release := startHolding(t, len(test.sizes))
 			conn := n.Dial()
 			reader := bufio.NewReader(conn)
 			_, err := conn.Write(rawRequest(t, n, test.sizes[0], nil))
@@ -108,16 +117,15 @@
 // only a part of it has been read when its connection is asked to close: it is read completely and gets its response.
 func TestPipelinedRequestInPartIsAnswered(t *testing.T) {
 	t.Parallel()
-	for name, part := range map[string]int{"one byte": 1, "three bytes": 3, "a part of the head": 60, "a part of the body": 9 << 10} {
+	for name, part := range map[string]int{
+		"one byte":           1,
+		"three bytes":        3,
+		"a part of the head": 60,
+		"a part of the body": 9 << 10,
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			received, release := make(chan struct{}, 2), make(chan struct{})
-			n := startWithBackend(t, func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				received <- struct{}{}
-				<-release
-				respondAlways(w, r)
-			})
+			n, received, release := startHolding(t, 2)
 			conn := n.Dial()
 			reader := bufio.NewReader(conn)
 			_, err := conn.Write(rawRequest(t, n, 10, nil))
@@ -149,13 +157,7 @@
 // arrives after the response to the request before it was to close the connection, and before that response begins.
 func TestPipelinedRequestAfterTheCloseWasDecided(t *testing.T) {
 	t.Parallel()
-	received, release := make(chan struct{}, 2), make(chan struct{})
-	n := startWithBackend(t, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		received <- struct{}{}
-		<-release
-		respondAlways(w, r)
-	})
+	n, received, release := startHolding(t, 2)
 	require.NoError(t, n.Lifecycle.Enter(node.Draining))
 	conn := n.Dial()
 	reader := bufio.NewReader(conn)
@@ -171,3 +173,30 @@
 		require.Equal(t, http.StatusOK, status)
 	}
 }
+
+// TestEmptyLineBehindARequest guards against a connection that a drain waits for because its client sends an empty line
+// behind a body, which some clients do: it does not begin a request, and the connection is closed at once.
+func TestEmptyLineBehindARequest(t *testing.T) {
+	t.Parallel()
+	n, received, release := startHolding(t, 1)
+	conn := n.Dial()
+	reader := bufio.NewReader(conn)
+	_, err := conn.Write(rawRequest(t, n, 10, nil))
+	require.NoError(t, err)
+	<-received
+	_, err = conn.Write([]byte("\r\n"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond) // until it has been read
+	require.NoError(t, n.Lifecycle.Enter(node.Draining))
+	drained := make(chan error, 1)
+	go func() { drained <- n.Connections.Drain(t.Context()) }()
+	close(release)
+	status, _ := readResponse(t, conn, reader)
+	require.Equal(t, http.StatusOK, status)
+	select {
+	case err := <-drained:
+		require.NoError(t, err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the drain still waits 2 s after the response")
+	}
+}
--- a/internal/edge/request_framer.go
+++ b/internal/edge/request_framer.go
@@ -6,12 +6,13 @@
 	"strings"
 )
 
-// maxFramedLine is the number of bytes stored of a line of a head. It is enough for those that tell the length of a body.
+// maxFramedLine is the number of bytes stored of a line of a head. It is enough for those that tell the length of a
+// body.
 const maxFramedLine = 64
 
-// requestFramer counts the requests that have begun on a connection, from all bytes that were read of it. The server may
-// hold bytes of a request that it has not started on. The framer follows the length of each body; after a request whose
-// length it does not know, such as one in chunks, it counts no more.
+// requestFramer counts the requests that have begun on a connection, from all bytes that were read of it. The server
+// may hold bytes of a request that it has not started on. The framer follows the length of each body; after a request
+// whose length it does not know, such as one in chunks, it counts no more.
 type requestFramer struct {
 	begun int // requests of which a byte has been read
 
@@ -44,13 +45,16 @@
 
 // addToLine adds bytes to the current line. Empty lines before a request do not begin it.
 func (f *requestFramer) addToLine(part []byte) {
-	if !f.inRequest && len(bytes.Trim(part, "\r")) > 0 {
+	if !f.inRequest && beginsRequest(part) {
 		f.inRequest = true
 		f.begun++
 	}
 	f.line = append(f.line, part[:min(len(part), maxFramedLine-len(f.line))]...)
 }
 
+// beginsRequest reports whether bytes between two requests begin one. Some clients send an empty line behind a body.
+func beginsRequest(read []byte) bool { return len(bytes.Trim(read, "\r\n")) > 0 }
+
 // endLine follows the end of a line.
 func (f *requestFramer) endLine() {
 	line := strings.TrimSpace(string(f.line))
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -75,8 +75,8 @@
 	errNotTracked = errors.New("client connection is not tracked")
 )
 
-// Duplicate implements node.Detacher. It is called between two events, when everything has been written, so that another
-// process can write the next byte.
+// Duplicate implements node.Detacher. It is called between two events, when everything has been written, so that
+// another process can write the next byte.
 func (s *clientStream) Duplicate() (int, error) {
 	switch {
 	case !s.supportsChunked:
--- a/internal/fleet/session/service/hook.go
+++ b/internal/fleet/session/service/hook.go
@@ -101,7 +101,8 @@
 func (h *hook) Event(event []byte) ([]byte, node.HookAction) {
 	if h.resumed() {
 		h.beginOnce.Do(func() {
-			// Nothing waits for the result. The response goes on meanwhile, so that the goroutine must not use the hook.
+			// Nothing waits for the result. The response goes on meanwhile, so that the goroutine must not use the
+			// hook.
 			go h.service.recordBegin(session.Command{Kind: session.Begin, ID: h.id, FencingToken: h.fencingToken})
 		})
 	}
@@ -258,8 +259,8 @@
 	return nil
 }
 
-// recordBegin records that output is being forwarded to the client. A failure has no consequences: the claim protects the
-// session without it.
+// recordBegin records that output is being forwarded to the client. A failure has no consequences: the claim protects
+// the session without it.
 func (s *Service) recordBegin(begin session.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
--- a/internal/fleet/session/service/resume_test.go
+++ b/internal/fleet/session/service/resume_test.go
@@ -97,9 +97,9 @@
 	require.Empty(t, c.monitor.Violations())
 }
 
-// Guards against a data race of the begin of a resumed session, which is recorded beside the response, and the next pause
-// of the session. The begin is held up until the session has paused, so that nothing orders the two: if both use one
-// field of the hook, the race detector finds it in every run.
+// Guards against a data race of the begin of a resumed session, which is recorded beside the response, and the next
+// pause of the session. The begin is held up until the session has paused, so that nothing orders the two: if both use
+// one field of the hook, the race detector finds it in every run.
 func TestBeginIsRecordedBesideTheNextPause(t *testing.T) {
 	var c *cluster
 	paused := make(chan struct{})
--- a/internal/handover/stream_sender.go
+++ b/internal/handover/stream_sender.go
@@ -14,8 +14,8 @@
 )
 
 // PassStream passes a stream, which is a text and two sockets, to a sibling that accepts it. The descriptors stay open.
-// If it returns no error, a sibling owns the stream. If no sibling listens for streams, the error is ErrNoSibling. After
-// an error that wraps ErrUncertain, a sibling may own the stream; after any other, the caller still owns it.
+// If it returns no error, a sibling owns the stream. If no sibling listens for streams, the error is ErrNoSibling.
+// After an error that wraps ErrUncertain, a sibling may own the stream; after any other, the caller still owns it.
 func (c *Channel) PassStream(text []byte, first, second int) error {
 	if len(text) > maxTextBytes {
 		return fmt.Errorf("pass stream: text of %d bytes exceeds the maximum of %d", len(text), maxTextBytes)
@@ -95,7 +95,8 @@
 	return err
 }
 
-// awaitAcceptance waits until a sibling that passes in one phase has taken over the stream, or has ended the connection.
+// awaitAcceptance waits until a sibling that passes in one phase has taken over the stream, or has ended the
+// connection.
 func awaitAcceptance(conn *net.UnixConn) error {
 	var response [1]byte
 	_, err := io.ReadFull(conn, response[:])
--- a/internal/store/outcome_test.go
+++ b/internal/store/outcome_test.go
@@ -175,7 +175,8 @@
 	result := <-outcome
 	require.ErrorIs(t, result.err, ErrNotLeader)
 	require.True(t, NotApplied(result.err))
-	require.Eventually(t, func() bool { return l.members[leader].Get("other").Version > 0 }, 10*time.Second, time.Millisecond)
+	applied := func() bool { return l.members[leader].Get("other").Version > 0 }
+	require.Eventually(t, applied, 10*time.Second, time.Millisecond)
 	for _, member := range l.members {
 		require.Zero(t, member.Get("batch"))
 	}
--- a/internal/testpeer/fleet.go
+++ b/internal/testpeer/fleet.go
@@ -9,8 +9,8 @@
 	"standpoint/internal/node"
 )
 
-// RejectingFleet is a node.Fleet that rejects a random fraction of the requests, as budgets without tokens do. It is safe
-// for concurrent use.
+// RejectingFleet is a node.Fleet that rejects a random fraction of the requests, as budgets without tokens do. It is
+// safe for concurrent use.
 type RejectingFleet struct {
 	// RetryAfter is the time after which the clients of rejected requests should retry.
 	RetryAfter time.Duration
