Review of the mends: results in a ring, time to end for each component, fewer allocations

Read again as a whole, four things were not right: - store: each write searched all 1,024 retained results once there were that many. They are in a ring now; TestResultHistoryIsBounded. - daemon: one second for all components together could be taken by a slow one, a batch at a server that takes files, from the ledger that it used.

--- a/internal/backend/running_streams.go
+++ b/internal/backend/running_streams.go
@@ -10,6 +10,7 @@
 
 	"standpoint"
 	"standpoint/internal/node"
+	"standpoint/internal/transient"
 )
 
 // HandOverFunc passes a stream to another process, with the descriptors of its client's and its backend's connection.
@@ -106,7 +107,7 @@
 // continueFrom continues the stream in this process after a failed handover, from a position in the response. The
 // transport of the request has closed its own descriptor of the connection with the failed read.
 func (r *relay) continueFrom(backendFD int, position chunkParser) error {
-	conn, err := connectionOf(backendFD)
+	conn, err := transient.ConnectionOf(backendFD)
 	if err != nil {
 		return err
 	}
--- a/internal/backend/socket.go
+++ b/internal/backend/socket.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -77,17 +76,6 @@
 	return fd, failed
 }
 
-// connectionOf returns a connection on a duplicate of a socket's descriptor.
-func connectionOf(fd int) (net.Conn, error) {
-	duplicate, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
-		return nil, err
-	}
-	file := os.NewFile(uintptr(duplicate), "socket")
-	defer func() { _ = file.Close() }() // FileConn makes a duplicate of its own
-	return net.FileConn(file)
-}
-
 // DuplicateSocket returns a duplicate descriptor of a client connection's socket, which stays open when the connection
 // closes.
 func DuplicateSocket(c net.Conn) (int, error) { return duplicateSocket(c) }
--- a/internal/daemon/assembly.go
+++ b/internal/daemon/assembly.go
@@ -52,8 +52,9 @@
 	ended  chan struct{} // closed when run has returned
 }
 
-// componentsStopTimeout bounds the total wait for the components to return from run.
-const componentsStopTimeout = time.Second
+// componentStopTimeout bounds the wait for one component to return from run. Each has its own: one that does not return
+// must not take the time of those that it used.
+const componentStopTimeout = 500 * time.Millisecond
 
 // constructor constructs a component, which may use the components constructed before it. If the deployment does not
 // need the component, the result has the name "".
@@ -235,12 +236,10 @@
 // stop ends the components, the last constructed first, and joins their errors. A component ends only once those that
 // use it have returned from run: what they still hand over, such as usage to the ledger, is complete.
 func (a *assembly) stop() error {
-	deadline, cancel := context.WithTimeout(context.Background(), componentsStopTimeout)
-	defer cancel()
 	var errs []error
 	for i := len(a.components) - 1; i >= 0; i-- {
 		c := &a.components[i]
-		if err := c.end(deadline); err != nil {
+		if err := c.end(); err != nil {
 			errs = append(errs, fmt.Errorf("%s: %w", c.name, err))
 		}
 	}
@@ -251,30 +250,32 @@
 // errStillRunning is returned for a component that has not returned from run in time.
 var errStillRunning = errors.New("still running")
 
-// end ends the component. It waits at most until the deadline context ends, and releases the resources in any case.
-func (c *component) end(deadline context.Context) error {
+// end ends the component. It waits at most for componentStopTimeout, and releases the resources in any case.
+func (c *component) end() error {
 	if c.cancel != nil {
 		c.cancel()
 	}
 	var errs []error
 	if c.cancel != nil && !c.runsUntilStop {
-		errs = append(errs, c.awaitEnd(deadline))
+		errs = append(errs, c.awaitEnd())
 	}
 	if c.stop != nil {
 		errs = append(errs, c.stop())
 	}
 	if c.cancel != nil && c.runsUntilStop {
-		errs = append(errs, c.awaitEnd(deadline))
+		errs = append(errs, c.awaitEnd())
 	}
 	return errors.Join(errs...)
 }
 
 // awaitEnd waits until run has returned.
-func (c *component) awaitEnd(deadline context.Context) error {
+func (c *component) awaitEnd() error {
+	timer := time.NewTimer(componentStopTimeout)
+	defer timer.Stop()
 	select {
 	case <-c.ended:
 		return nil
-	case <-deadline.Done():
+	case <-timer.C:
 		return errStillRunning
 	}
 }
--- a/internal/edge/request_framer.go
+++ b/internal/edge/request_framer.go
@@ -3,13 +3,19 @@
 import (
 	"bytes"
 	"strconv"
-	"strings"
 )
 
 // maxFramedLine is the number of bytes stored of a line of a head. It is enough for those that tell the length of a
 // body.
 const maxFramedLine = 64
 
+// Parts of a head that tell the length of a body.
+var (
+	headerSeparator      = []byte(":")
+	contentLengthName    = []byte("Content-Length")
+	transferEncodingName = []byte("Transfer-Encoding")
+)
+
 // requestFramer counts the requests that have begun on a connection, from all bytes that were read of it. The server
 // may hold bytes of a request that it has not started on. The framer follows the length of each body; after a request
 // whose length it does not know, such as one in chunks, it counts no more.
@@ -57,21 +63,21 @@
 
 // endLine follows the end of a line.
 func (f *requestFramer) endLine() {
-	line := strings.TrimSpace(string(f.line))
+	line := bytes.TrimSpace(f.line)
 	f.line = f.line[:0]
-	if line == "" {
+	if len(line) == 0 {
 		if f.inRequest {
 			f.endHead()
 		}
 		return
 	}
-	name, value, _ := strings.Cut(line, ":")
-	switch strings.ToLower(name) {
-	case "content-length":
-		length, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	name, value, _ := bytes.Cut(line, headerSeparator)
+	switch {
+	case bytes.EqualFold(name, contentLengthName):
+		length, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 		f.contentLength = length
 		f.lost = err != nil || length < 0
-	case "transfer-encoding":
+	case bytes.EqualFold(name, transferEncodingName):
 		f.lost = true
 	}
 }
--- a/internal/handover/stream_receiver.go
+++ b/internal/handover/stream_receiver.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"standpoint/internal/transient"
 )
 
 // StreamHandler decides whether this process takes over a stream that a sibling passes: a text and two connections. It
@@ -74,11 +74,11 @@
 	if err != nil {
 		return err
 	}
-	first, err := duplicateConnection(message.fds[0])
+	first, err := transient.ConnectionOf(message.fds[0])
 	if err != nil {
 		return err
 	}
-	second, err := duplicateConnection(message.fds[1])
+	second, err := transient.ConnectionOf(message.fds[1])
 	if err != nil {
 		return errors.Join(err, first.Close())
 	}
@@ -116,14 +116,3 @@
 	}
 	return nil
 }
-
-// duplicateConnection returns a connection on a duplicate of a descriptor.
-func duplicateConnection(fd int) (net.Conn, error) {
-	duplicate, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
-		return nil, err
-	}
-	file := os.NewFile(uintptr(duplicate), "passed")
-	defer func() { _ = file.Close() }() // FileConn makes a duplicate of its own
-	return net.FileConn(file)
-}
--- a/internal/store/outcome.go
+++ b/internal/store/outcome.go
@@ -60,33 +60,31 @@
 	return entry.Type == raft.LogCommand && bytes.Equal(entry.Data, data)
 }
 
-// resultHistory holds the results of the entries that were applied last. It is safe for concurrent use.
+// resultHistory holds the results of the last retainedResults entries. It is safe for concurrent use.
 type resultHistory struct {
-	mu      sync.Mutex
-	byIndex map[uint64]applyResult
+	mu   sync.Mutex
+	ring [retainedResults]indexedResult // by the index modulo its size
 }
 
-func newResultHistory() *resultHistory { return &resultHistory{byIndex: map[uint64]applyResult{}} }
+// indexedResult is the result of the entry at an index. Index 0 stands for none.
+type indexedResult struct {
+	index  uint64
+	result applyResult
+}
+
+func newResultHistory() *resultHistory { return &resultHistory{} }
 
-// add adds the result of the entry at an index. Entries are added in the order of their indexes.
+// add adds the result of the entry at an index.
 func (h *resultHistory) add(index uint64, result applyResult) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.byIndex[index] = result
-	if len(h.byIndex) <= retainedResults {
-		return
-	}
-	for old := range h.byIndex {
-		if old+retainedResults <= index {
-			delete(h.byIndex, old)
-		}
-	}
+	h.ring[index%retainedResults] = indexedResult{index, result}
 }
 
 // get returns the result of the entry at an index; ok is false if it was not applied or is not retained.
 func (h *resultHistory) get(index uint64) (result applyResult, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	result, ok = h.byIndex[index]
-	return result, ok
+	entry := h.ring[index%retainedResults]
+	return entry.result, entry.index == index
 }
--- a/internal/store/outcome_test.go
+++ b/internal/store/outcome_test.go
@@ -191,3 +191,20 @@
 	require.ErrorIs(t, result.err, ErrUnknownOutcome)
 	require.False(t, NotApplied(result.err))
 }
+
+// Guards against a history that grows with the log, or that gives a write the result of another entry.
+func TestResultHistoryIsBounded(t *testing.T) {
+	t.Parallel()
+	h := newResultHistory()
+	const last = 3 * retainedResults
+	for index := uint64(1); index <= last; index += 2 { // entries without a command have no result
+		h.add(index, applyResult{version: index})
+	}
+	for index := uint64(1); index <= last; index++ {
+		result, ok := h.get(index)
+		require.Equal(t, index%2 == 1 && index > last-retainedResults, ok, index)
+		if ok {
+			require.Equal(t, index, result.version)
+		}
+	}
+}
