--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -87,7 +87,14 @@
 func (c *configurationCluster) start(id string) {
 	c.t.Helper()
 	process := exec.Command(c.program, "serve", "--config", c.file(id))
+	output := &processLog{}
+	process.Stderr = output
 	require.NoError(c.t, process.Start())
+	c.t.Cleanup(func() {
+		if c.t.Failed() { // a member that could not start, since its address was taken, says so
+			c.t.Logf("output of %s:\n%s", id, output)
+		}
+	})
 	c.running[id] = process
 }
 
