--- /dev/null
+++ b/review/cmd-2/stream-after-sigterm/main.go
@@ -0,0 +1,88 @@
+// Command stream-after-sigterm tells an operator's node to end while it streams a long answer, whose events keep coming.
+// Nobody kills the node. The client must get the whole answer.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+
+	"standpoint-review/rig2"
+)
+
+const (
+	events = 160
+	gap    = 500 * time.Millisecond // 80 s in all
+)
+
+const config = `name = "payroll-1"
+listen = "%[1]s"
+[limits]
+cores = 1.0
+memory_mb = 192
+sockets = 1024
+[module]
+nodes = 1
+zones = ["hall-a"]
+zone = "hall-a"
+kinds = ["fast"]
+max_attempts = 3
+[[class]]
+name = "foreman-chat"
+first_token = "1.2s"
+per_1000_prompt_tokens = "30ms"
+token_gap = "1s"
+give_up = "5s"
+worth = 5.0
+[[tenant]]
+name = "stroy-zhol"
+share = 1.0
+[entries]
+source = "list"
+[[real_server]]
+name = "box-1"
+address = "%[2]s"
+zone = "hall-a"
+kind = "fast"
+`
+
+func main() {
+	c := rig2.Open()
+	engine := c.StartEngine("box-1", func(r rig2.EngineRequest, s *rig2.Stream) {
+		for i := range events {
+			if !s.Text(fmt.Sprintf("word-%d ", i)) {
+				c.Log("box-1: the node has closed the connection before event %d", i)
+				return
+			}
+			time.Sleep(gap)
+		}
+		s.Finish(200, events)
+	})
+	listen := c.FreeAddress()
+	node := c.Start("node", "serve --config "+c.Write("node/operator.toml", fmt.Sprintf(config, listen, engine.Address)))
+	c.Await("the node is ready", 20*time.Second, func() bool { return rig2.Healthy(listen) })
+	answered := make(chan rig2.Answer, 1)
+	began := time.Now()
+	go func() {
+		answered <- rig2.Call(http.MethodPost, "http://"+listen+"/v1/chat/completions",
+			rig2.ChatHeader("foreman-chat", "stroy-zhol", 5*time.Second),
+			[]byte(`{"model":"m","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"All sheets?"}]}`),
+			100*time.Second)
+	}()
+	c.Await("the server has the request", 5*time.Second, func() bool { return len(engine.Requests()) > 0 })
+	time.Sleep(2 * time.Second)
+	if c.Trouble {
+		node.Signal(syscall.SIGTERM)
+	}
+	answer := <-answered
+	got := bytes.Count(answer.Body, []byte("word-"))
+	c.Log("client: status %d, %d of %d events after %v, whole %v, %v", answer.Status, got, events, time.Since(began),
+		answer.Whole, answer.Err)
+	if answer.Status == http.StatusOK && answer.Whole && got == events {
+		c.End(rig2.Held, "held: the whole answer came")
+	}
+	c.End(rig2.Broken, "broken: the answer was cut after %.0f s, with %d of %d events (status %d, %v)",
+		time.Since(began).Seconds(), got, events, answer.Status, answer.Err)
+}
