--- a/review/cmd-2/file-after-kill/main.go
+++ b/review/cmd-2/file-after-kill/main.go
@@ -141,7 +141,11 @@
 		answer := rig2.Call(http.MethodPost, base+"/v1/files", map[string]string{"Content-Type": w.FormDataContentType()},
 			form.Bytes(), 5*time.Second)
 		c.Log("client: upload answered %d %s %v", answer.Status, answer.Body, answer.Err)
-		return answer.Status == http.StatusOK && json.Unmarshal(answer.Body, &uploaded) == nil
+		if answer.Status == http.StatusOK && json.Unmarshal(answer.Body, &uploaded) == nil {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+		return false
 	})
 	answer := rig2.Call(http.MethodPost, base+"/v1/batches", nil, fmt.Appendf(nil,
 		`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h"}`, uploaded.ID), 5*time.Second)
