--- a/review/cmd-2/file-after-kill/main.go
+++ b/review/cmd-2/file-after-kill/main.go
@@ -81,7 +81,8 @@
 
 func main() {
 	c := rig2.Open()
-	server := c.StartFileServer(time.Now().Add(busy), 200*time.Millisecond)
+	book := rig2.NewBook()
+	server := c.StartFileServer("files-1", book, time.Now().Add(busy), 200*time.Millisecond)
 	listen := c.FreeAddress()
 	file := c.Write("node/operator.toml", fmt.Sprintf(config, listen, server.Address, c.FreeAddress()))
 	arguments := "serve --config " + file
@@ -98,18 +99,18 @@
 		c.Start("node again", arguments)
 	}
 	status := ""
-	for status != "completed" && c.Elapsed() < most && len(server.Overlaps()) == 0 {
+	for status != "completed" && c.Elapsed() < most && len(book.Overlaps()) == 0 {
 		time.Sleep(300 * time.Millisecond)
 		status = statusOf(base, batch)
 	}
-	if len(server.Overlaps()) > 0 { // what comes of it
+	if len(book.Overlaps()) > 0 { // what comes of it
 		c.Wait(most-c.Elapsed(), func() bool { status = statusOf(base, batch); return status == "completed" })
 		time.Sleep(500 * time.Millisecond)
 	}
-	c.Log("batch is %q; runs of each line: %v", status, server.Runs())
-	if overlaps := server.Overlaps(); len(overlaps) > 0 {
+	c.Log("batch is %q; runs of each line: %v", status, book.Runs())
+	if overlaps := book.Overlaps(); len(overlaps) > 0 {
 		twice := 0
-		for _, n := range server.Runs() {
+		for _, n := range book.Runs() {
 			if n > 1 {
 				twice++
 			}
--- a/review/rig2/fileserver.go
+++ b/review/rig2/fileserver.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -22,15 +23,27 @@
 	FreeAt   time.Time
 	LineTime time.Duration
 
-	c       *Case
-	mu      sync.Mutex
-	next    int
-	files   map[string][]byte
-	batches []*fileBatch
+	c        *Case
+	name     string
+	listener net.Listener
+	handler  http.Handler
+	book     *Book
+	next     int
+	files    map[string][]byte
+	batches  []*fileBatch
+}
+
+// Book is what the servers of a case have of the lines, all together.
+type Book struct {
+	mu      sync.Mutex // guards the rest, and the state of all servers
+	servers []*FileServer
 	runs    map[string]int // by the text of the line's prompt: how often it has run
-	overlap []string       // lines that were in two batches at once, neither of them over
+	overlap []string       // lines that came to a server while an earlier attempt of theirs was out
 }
 
+// NewBook returns a book without lines.
+func NewBook() *Book { return &Book{runs: map[string]int{}} }
+
 type fileBatch struct {
 	id, input, output, errors, status string
 	cancelling                        bool
@@ -43,13 +56,9 @@
 }
 
 // StartFileServer starts a server that takes files.
-func (c *Case) StartFileServer(freeAt time.Time, lineTime time.Duration) *FileServer {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		c.Fatal("%v", err)
-	}
-	s := &FileServer{Address: l.Addr().String(), FreeAt: freeAt, LineTime: lineTime, c: c,
-		files: map[string][]byte{}, runs: map[string]int{}}
+func (c *Case) StartFileServer(name string, book *Book, freeAt time.Time, lineTime time.Duration) *FileServer {
+	s := &FileServer{Address: c.FreeAddress(), FreeAt: freeAt, LineTime: lineTime, c: c, name: name, book: book,
+		files: map[string][]byte{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/files", s.upload)
 	mux.HandleFunc("GET /v1/files/{id}/content", s.content)
@@ -58,15 +67,40 @@
 	mux.HandleFunc("GET /v1/batches", s.list)
 	mux.HandleFunc("GET /v1/batches/{id}", s.get)
 	mux.HandleFunc("POST /v1/batches/{id}/cancel", s.cancel)
-	go func() { _ = http.Serve(l, mux) }()
+	s.handler = mux
+	book.mu.Lock()
+	book.servers = append(book.servers, s)
+	book.mu.Unlock()
+	s.Up()
 	go s.run()
 	return s
 }
 
+// Up begins to listen. The server has the files and batches that it had before.
+func (s *FileServer) Up() {
+	var err error
+	if s.listener, err = net.Listen("tcp4", s.Address); err != nil {
+		s.c.Fatal("%v", err)
+	}
+	server := &http.Server{Handler: s.handler}
+	l := s.listener
+	go func() {
+		_ = server.Serve(l)
+		_ = server.Close() // also the open connections
+	}()
+	s.c.Log("%s is up", s.name)
+}
+
+// Down ends the server's process: its connections end, and new ones are refused.
+func (s *FileServer) Down() {
+	_ = s.listener.Close()
+	s.c.Log("%s is down", s.name)
+}
+
 // Created returns how many lines the server has in batches that it has taken, over or not.
 func (s *FileServer) Created() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	n := 0
 	for _, b := range s.batches {
 		n += len(b.lines)
@@ -74,22 +108,33 @@
 	return n
 }
 
-// Overlaps returns the lines that were in two batches at once, neither of them over.
-func (s *FileServer) Overlaps() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.overlap)
+// Overlaps returns the lines that came to a server while an earlier attempt of theirs was out.
+func (b *Book) Overlaps() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.overlap)
 }
 
 // Runs returns how often each line has run.
-func (s *FileServer) Runs() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runs := map[string]int{}
-	for line, n := range s.runs {
-		runs[line] = n
+func (b *Book) Runs() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.runs)
+}
+
+// note notes a line that comes in a batch. The caller holds the lock.
+func (b *Book) note(s *FileServer, id, prompt string) {
+	for _, server := range b.servers {
+		for _, other := range server.batches {
+			for _, known := range other.lines {
+				if !other.over() && known.prompt == prompt && (known.state == "waiting" || known.state == "running") {
+					b.overlap = append(b.overlap, prompt)
+					s.c.Log("%s: line %q comes in %s while it is %s in %s of %s", s.name, prompt, id, known.state, other.id,
+						server.name)
+				}
+			}
+		}
 	}
-	return runs
 }
 
 func (s *FileServer) newID(kind string) string {
@@ -111,17 +156,17 @@
 		return
 	}
 	raw, _ := io.ReadAll(file)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	id := s.newID("file")
 	s.files[id] = raw
 	reply(w, http.StatusOK, map[string]any{"id": id, "object": "file", "bytes": len(raw), "purpose": "batch"})
 }
 
 func (s *FileServer) content(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.book.mu.Lock()
 	raw, ok := s.files[r.PathValue("id")]
-	s.mu.Unlock()
+	s.book.mu.Unlock()
 	if !ok {
 		reply(w, http.StatusNotFound, map[string]string{"error": "no such file"})
 		return
@@ -130,8 +175,8 @@
 }
 
 func (s *FileServer) deleteFile(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	id := r.PathValue("id")
 	if _, ok := s.files[id]; !ok {
 		reply(w, http.StatusNotFound, map[string]string{"error": "no such file"})
@@ -149,8 +194,8 @@
 		reply(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	raw, ok := s.files[body.Input]
 	if !ok {
 		reply(w, http.StatusBadRequest, map[string]string{"error": "no such file"})
@@ -170,18 +215,11 @@
 			continue
 		}
 		prompt := line.Body.Messages[len(line.Body.Messages)-1].Content
-		for _, other := range s.batches {
-			for _, known := range other.lines {
-				if !other.over() && known.prompt == prompt && (known.state == "waiting" || known.state == "running") {
-					s.overlap = append(s.overlap, prompt)
-					s.c.Log("server: line %q comes in %s while it is %s in %s", prompt, b.id, known.state, other.id)
-				}
-			}
-		}
+		s.book.note(s, b.id, prompt)
 		b.lines = append(b.lines, &fileLine{id: line.ID, prompt: prompt, state: "waiting"})
 	}
 	s.batches = append(s.batches, b)
-	s.c.Log("server: %s created of %s with %d lines", b.id, b.input, len(b.lines))
+	s.c.Log(s.name+": %s created of %s with %d lines", b.id, b.input, len(b.lines))
 	reply(w, http.StatusOK, b.object())
 }
 
@@ -209,8 +247,8 @@
 }
 
 func (s *FileServer) get(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	if b := s.find(r.PathValue("id")); b != nil {
 		reply(w, http.StatusOK, b.object())
 		return
@@ -220,8 +258,8 @@
 
 // list lists the batches, the latest first, in pages.
 func (s *FileServer) list(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
 	if err != nil || limit <= 0 {
 		limit = 20
@@ -243,15 +281,15 @@
 }
 
 func (s *FileServer) cancel(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	b := s.find(r.PathValue("id"))
 	if b == nil {
 		reply(w, http.StatusNotFound, map[string]string{"error": "no such batch"})
 		return
 	}
 	if !b.over() {
-		s.c.Log("server: %s is cancelled", b.id)
+		s.c.Log(s.name+": %s is cancelled", b.id)
 		b.cancelling = true
 		b.status = "cancelling"
 		for _, line := range b.lines {
@@ -271,7 +309,7 @@
 		if time.Now().Before(s.FreeAt) {
 			continue
 		}
-		s.mu.Lock()
+		s.book.mu.Lock()
 		for _, b := range s.batches {
 			for _, line := range b.lines {
 				if line.state == "waiting" {
@@ -280,17 +318,17 @@
 				}
 			}
 		}
-		s.mu.Unlock()
+		s.book.mu.Unlock()
 	}
 }
 
 func (s *FileServer) runLine(b *fileBatch, line *fileLine) {
 	time.Sleep(s.LineTime)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
 	line.state = "ran"
-	s.runs[line.prompt]++
-	s.c.Log("server: line %q of %s has run, time %d of this line", line.prompt, b.id, s.runs[line.prompt])
+	s.book.runs[line.prompt]++
+	s.c.Log(s.name+": line %q of %s has run, time %d of this line", line.prompt, b.id, s.book.runs[line.prompt])
 	s.finishIfOver(b)
 }
 
@@ -326,5 +364,5 @@
 	if b.cancelling {
 		b.status = "cancelled"
 	}
-	s.c.Log("server: %s is %s", b.id, b.status)
+	s.c.Log(s.name+": %s is %s", b.id, b.status)
 }
