--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -58,8 +58,11 @@
 func (s *Stream) Fail(status int) { s.w.WriteHeader(status) }
 
 // Reset ends the connection in the middle of the answer.
-func (s *Stream) Reset() {
-	conn, _, err := s.w.(http.Hijacker).Hijack()
+func (s *Stream) Reset() { resetConnection(s.w) }
+
+// resetConnection resets a request's connection and ends its handler.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
@@ -113,6 +116,21 @@
 	return e
 }
 
+// StartQuietEngine starts a server that records nothing, for many requests, and returns its address.
+func (c *Case) StartQuietEngine(answer func(s *Stream)) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		c.Fatal("%v", err)
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		answer(&Stream{w: w, request: r})
+	})
+	go func() { _ = http.Serve(l, handler) }()
+	return l.Addr().String()
+}
+
 // Requests returns the requests that the engine got.
 func (e *Engine) Requests() []EngineRequest {
 	e.mu.Lock()
--- a/review/rig2/fileserver.go
+++ b/review/rig2/fileserver.go
@@ -22,6 +22,10 @@
 	Address  string
 	FreeAt   time.Time
 	LineTime time.Duration
+	// ListLag is the time after which a batch is in the list. LostAnswers is how many answers to the creation of a batch
+	// get lost: the batch is created, and the connection is reset.
+	ListLag     time.Duration
+	LostAnswers int
 
 	c        *Case
 	name     string
@@ -47,6 +51,7 @@
 type fileBatch struct {
 	id, input, output, errors, status string
 	cancelling                        bool
+	created                           time.Time
 	lines                             []*fileLine
 }
 
@@ -201,7 +206,7 @@
 		reply(w, http.StatusBadRequest, map[string]string{"error": "no such file"})
 		return
 	}
-	b := &fileBatch{id: s.newID("batch"), input: body.Input, status: "in_progress"}
+	b := &fileBatch{id: s.newID("batch"), input: body.Input, status: "in_progress", created: time.Now()}
 	for text := range bytes.Lines(raw) {
 		var line struct {
 			ID   string `json:"custom_id"`
@@ -220,6 +225,11 @@
 	}
 	s.batches = append(s.batches, b)
 	s.c.Log(s.name+": %s created of %s with %d lines", b.id, b.input, len(b.lines))
+	if s.LostAnswers > 0 {
+		s.LostAnswers--
+		s.c.Log("%s: the answer to the creation of %s gets lost", s.name, b.id)
+		resetConnection(w)
+	}
 	reply(w, http.StatusOK, b.object())
 }
 
@@ -268,6 +278,9 @@
 	began := after == ""
 	data, more := []map[string]any{}, false
 	for _, b := range slices.Backward(s.batches) {
+		if time.Since(b.created) < s.ListLag {
+			continue
+		}
 		if began {
 			if len(data) == limit {
 				more = true
