--- a/review/cmd-2/upload-in-memory/main.go
+++ b/review/cmd-2/upload-in-memory/main.go
@@ -56,6 +56,8 @@
 	nodes = 3
 	// pause is from one kill to the next: two of three nodes in 29 s at the most.
 	pause = 15 * time.Second
+	// cutFor is for how long the link is cut before the upload; the pages' longest cut is 6 s.
+	cutFor = 3 * time.Second
 )
 
 type node struct {
@@ -100,7 +102,7 @@
 		apart := (leader + 1) % nodes
 		if c.Trouble {
 			f.cut(leader, apart, true)
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(cutFor)
 		}
 		id := f.upload(leader)
 		if id == "" {
