--- a/review/cmd-2/stream-after-sigterm/main.go
+++ b/review/cmd-2/stream-after-sigterm/main.go
@@ -51,7 +51,7 @@
 
 func main() {
 	c := rig2.Open()
-	engine := c.StartEngine("box-1", func(r rig2.EngineRequest, s *rig2.Stream) {
+	engine := c.StartEngine("box-1", func(_ rig2.EngineRequest, s *rig2.Stream) {
 		began := time.Now()
 		for i := range events {
 			if !s.Text(fmt.Sprintf("word-%d ", i)) {
