Log which batch at which server has a file's lines

Change: one log entry per batch that a server has created, with server, file, batch and number of lines.

--- a/internal/backend/batch_run.go
+++ b/internal/backend/batch_run.go
@@ -42,6 +42,11 @@
 		return
 	}
 	file.batchID = created.ID
+	b.Log.Info("batch created at a backend",
+		zap.String("server", b.name),
+		zap.String("file", file.id),
+		zap.String("batch", file.batchID),
+		zap.Int("lines", len(file.attempts)))
 	if b.OnWritten != nil {
 		for range file.attempts {
 			b.OnWritten()
