Batch: cancels by the next leader do not halve the limit of lines in flight

Cause: a leader that takes over a file cancels it when the time of its lines is near; the lines come back as rejected, and each rejection halved the limit, as if the servers lacked capacity. Seen in trials of the case: after the cancel, lines were sent one, two and three at a time. Change: a rejection of a line in such a file leaves the limit as it is.

--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"standpoint/internal/node"
 )
 
 const (
@@ -140,6 +142,9 @@
 	d.sending.Go(func() {
 		traceID := l.record.TraceID
 		answer := d.service.resumeLine(ctx, d.expires, l, d.term.submissions)
+		if answer == node.Rejected { // this member cancels late files: no evidence that the backends lack capacity
+			answer = node.ClientDisconnected
+		}
 		if acquired {
 			d.term.limiter.release(answer)
 		}
