TestRejectedBatchEnds: the window begins with a second of the clock

Cause: expires_at is in whole seconds, cut off, so that a window of 1 s submitted late in a second ends after a few milliseconds, before any line was sent; the test then waits in vain for a rejection (seen once in a run of the package, "Condition never satisfied"). Change: the test submits at the beginning of a second. What it requires, and its bounds, are as before.

--- a/internal/batch/rejected_lines_test.go
+++ b/internal/batch/rejected_lines_test.go
@@ -67,6 +67,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c, fleet, counter := startRejecting(t, 1)
+			// The end of the window is a whole second: later in a second, it could come before a line is sent.
+			time.Sleep(time.Until(time.Now().Truncate(time.Second).Add(time.Second)))
 			b := c.submit(inputLines(rejectedLines), test.window)
 			require.Eventually(t, func() bool { return fleet.Rejected() > 0 }, 5*time.Second, time.Millisecond)
 			end := time.Second // from the end of the window or the cancellation
