Batch: expiry waits for lines that an earlier leader has in flight

What callers saw: a line that a stalled or cut off leader had in flight got "could not be executed before the completion window expired" as the window ended, though its attempt may have been running. Cause: the next leader took the end of the window for the end of the attempt, which only the leader that sent it knows. Change: such a line fails once its stored time has passed.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -36,14 +36,14 @@
 		return node.Failed
 	}
 	began := time.Now()
-	until := began.Add(s.LineTimeout)
+	end := s.attemptEnd(began.Add(s.LineTimeout), expires)
+	until := end.Add(s.deadlineMargin())
 	inFlight := lineRecord{State: lineInFlight, Attempts: l.record.Attempts + 1, TraceID: traceID}.withUntil(until)
 	if err := s.writeLine(ctx, l, inFlight, nil); err != nil {
 		s.logUnrecorded(l, err)
 		sleep(ctx, failureDelay) // avoids a busy loop while the store rejects writes
 		return node.ClientDisconnected
 	}
-	end := s.attemptEnd(until, expires)
 	// The request's deadline does not apply to a stream that has begun, but the end of its context ends it, too.
 	requestCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
@@ -80,10 +80,15 @@
 	return answer
 }
 
+// deadlineMargin returns how long before the time until which a line is stored as in flight its attempt is given up.
+func (s *Service) deadlineMargin() time.Duration {
+	return min(s.LineTimeout/deadlineMarginDivisor, maxDeadlineMargin)
+}
+
 // attemptEnd returns the time at which an attempt of a line is given up that is stored as in flight until the given
 // time, in a batch that expires.
 func (s *Service) attemptEnd(until, expires time.Time) time.Time {
-	end := until.Add(-min(s.LineTimeout/deadlineMarginDivisor, maxDeadlineMargin))
+	end := until.Add(-s.deadlineMargin())
 	if expires.Before(end) {
 		return expires
 	}
--- a/internal/batch/run_test.go
+++ b/internal/batch/run_test.go
@@ -154,6 +154,24 @@
 	require.Equal(t, map[string]int{"line 0": 1, "line 3": 1}, counter.Attempts())
 }
 
+// Guards against an error for a line that says that it was not executed, while an attempt of an earlier leader may still
+// run: the end of the completion window must not end the wait for the stored time of a line in flight.
+func TestExpiryWaitsForLinesInFlight(t *testing.T) {
+	t.Parallel()
+	core := testpeer.Start(t, testpeer.Settings())
+	kv := store.NewMemory()
+	_, first := serve(t, core, kv, nil)
+	b := first.submit(inputLines(2), "1s")
+	until := time.Now().Add(2500 * time.Millisecond)
+	record := fmt.Sprintf(`{"state":"out","until":%d,"tries":1}`, until.UnixMilli())
+	_, err := kv.Write(t.Context(), store.Op{Key: "line/" + b.ID + "/000000", Data: []byte(record)})
+	require.NoError(t, err)
+	b = start(t, core, kv, nil).wait(b.ID, 10*time.Second)
+	require.False(t, time.Now().Before(until))
+	require.Equal(t, batch.Expired, b.Status)
+	require.Equal(t, batch.RequestCounts{Total: 2, Failed: 2}, b.RequestCounts)
+}
+
 // A member that loses leadership must end its attempts at once, even a stream that has begun, and write no result. The
 // next leader must wait until the stored time of the line in flight.
 func TestLostLeadershipEndsAttempts(t *testing.T) {
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -183,9 +183,9 @@
 }
 
 // canFailNow reports whether a line of a batch that is being ended may fail now. A line that was in flight under an
-// earlier leader must wait until it is due, unless the batch has expired.
+// earlier leader must wait until its time has passed, since its attempt may still run.
 func (d *scheduler) canFailNow(l *line) bool {
-	return d.untilDue(l) <= 0 || l.record.State != lineInFlight
+	return l.record.State != lineInFlight || d.service.remaining(l.record.untilTime()) <= 0
 }
 
 // untilDue returns the time until a line is due or the batch expires.
