--- a/internal/backend/batch_file.go
+++ b/internal/backend/batch_file.go
@@ -23,7 +23,7 @@
 	ctx      context.Context          // ends when the batch is to be cancelled
 	cancel   context.CancelFunc
 
-	journal    node.Journal // records the file; nil if no other process would resume it
+	journal    node.Journal // records the file; nil if no other process would recover it
 	submission node.Submission
 }
 
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -43,10 +43,10 @@
 
 // Fleet manages all backends. It implements node.Backends; its methods are safe for concurrent use.
 type Fleet struct {
-	mu sync.Mutex // guards Options, backends and resumedFiles
+	mu sync.Mutex // guards Options, backends and recoveredFiles
 	Options
 	backends        map[string]backendHandle // by name
-	resumedFiles    map[*resumedFile]bool    // files of earlier processes that have not ended
+	recoveredFiles  map[*recoveredFile]bool  // files of earlier processes that have not ended
 	streams         *runningStreams
 	openConnections atomic.Int64
 }
@@ -54,10 +54,10 @@
 // New creates a Fleet without backends.
 func New(options Options) *Fleet {
 	f := &Fleet{
-		Options:      options,
-		backends:     map[string]backendHandle{},
-		resumedFiles: map[*resumedFile]bool{},
-		streams:      &runningStreams{connections: map[*connection]bool{}},
+		Options:        options,
+		backends:       map[string]backendHandle{},
+		recoveredFiles: map[*recoveredFile]bool{},
+		streams:        &runningStreams{connections: map[*connection]bool{}},
 	}
 	f.onOpen = f.countConnection
 	return f
@@ -130,7 +130,7 @@
 	backend.listedDraining = endpoint.State == standpoint.Draining
 	if backend.listedDraining {
 		backend.postReliably(drainStarted{})
-		f.cancelResumedFiles(endpoint.Name)
+		f.cancelRecoveredFiles(endpoint.Name)
 	}
 	return backend
 }
@@ -139,7 +139,7 @@
 func (f *Fleet) remove(backend backendHandle) {
 	backend.draining.Store(true)
 	backend.postReliably(backendRemoved{})
-	f.cancelResumedFiles(backend.name)
+	f.cancelRecoveredFiles(backend.name)
 }
 
 // start starts the goroutine of a newly listed backend.
--- a/internal/backend/resumed_file.go
+++ b/internal/backend/recovered_file.go
@@ -9,12 +9,12 @@
 	"standpoint/internal/node"
 )
 
-// errTakenOver is the reason why it is uncertain whether a resumed file has a batch.
+// errTakenOver is the reason why it is uncertain whether a recovered file has a batch.
 var errTakenOver = errors.New("the process that uploaded the file did not record its batch")
 
-// resumedFile is a file that an earlier process has uploaded. Its end is awaited whether the backend is listed or not.
-// It implements node.ResumedSubmission.
-type resumedFile struct {
+// recoveredFile is a file that an earlier process has uploaded. Its end is awaited whether the backend is listed or
+// not. It implements node.RecoveredSubmission.
+type recoveredFile struct {
 	*batchFile
 	backend *batchBackend
 	done    chan struct{} // closed once the fields below are set
@@ -23,19 +23,19 @@
 	missing node.Result           // result of the lines that are not among the results
 }
 
-// Resume awaits the end of a submission that an earlier process has recorded in the journal. Its batch is cancelled
+// Recover awaits the end of a submission that an earlier process has recorded in the journal. Its batch is cancelled
 // after the limit, and when the backend drains or is no longer listed. A backend that has not been listed yet may
 // still be discovered.
-func (f *Fleet) Resume(
+func (f *Fleet) Recover(
 	submission node.Submission, journal node.Journal, limit time.Duration,
-) node.ResumedSubmission {
+) node.RecoveredSubmission {
 	file := newBatchFile(nil, journal)
 	file.id = submission.FileID
 	file.batchID = submission.BatchID
 	file.submission = submission
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	resumed := &resumedFile{
+	recovered := &recoveredFile{
 		batchFile: file,
 		backend: &batchBackend{
 			Options:       f.Options,
@@ -44,36 +44,36 @@
 		},
 		done: make(chan struct{}),
 	}
-	f.resumedFiles[resumed] = true
+	f.recoveredFiles[recovered] = true
 	if f.backends[submission.Backend].listedDraining {
-		resumed.Cancel()
+		recovered.Cancel()
 	}
 	go func() {
 		defer time.AfterFunc(limit, file.cancel).Stop()
-		resumed.run()
-		f.forget(resumed)
+		recovered.run()
+		f.forget(recovered)
 	}()
-	return resumed
+	return recovered
 }
 
-// forget removes a resumed file that has ended.
-func (f *Fleet) forget(resumed *resumedFile) {
+// forget removes a recovered file that has ended.
+func (f *Fleet) forget(recovered *recoveredFile) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.resumedFiles, resumed)
+	delete(f.recoveredFiles, recovered)
 }
 
-// cancelResumedFiles cancels the batches of resumed files at a backend. The caller holds f.mu.
-func (f *Fleet) cancelResumedFiles(backend string) {
-	for resumed := range f.resumedFiles {
-		if resumed.backend.name == backend {
-			resumed.Cancel()
+// cancelRecoveredFiles cancels the batches of recovered files at a backend. The caller holds f.mu.
+func (f *Fleet) cancelRecoveredFiles(backend string) {
+	for recovered := range f.recoveredFiles {
+		if recovered.backend.name == backend {
+			recovered.Cancel()
 		}
 	}
 }
 
 // run awaits the end of the file's batch, which is looked for if it is not known.
-func (r *resumedFile) run() {
+func (r *recoveredFile) run() {
 	defer close(r.done)
 	defer r.backend.client.CloseIdleConnections()
 	defer r.cancel()
@@ -99,8 +99,8 @@
 		zap.NamedError("reason", err))
 }
 
-// Join implements node.ResumedSubmission. If the attempt is cancelled, so is the batch, and the attempt ends with it.
-func (r *resumedFile) Join(attempt *node.Attempt) {
+// Join implements node.RecoveredSubmission. If the attempt is cancelled, so is the batch, and the attempt ends with it.
+func (r *recoveredFile) Join(attempt *node.Attempt) {
 	select {
 	case <-r.done:
 	case <-attempt.Context().Done():
@@ -116,8 +116,8 @@
 	finishWithout(attempt, r.missing)
 }
 
-// Cancel implements node.ResumedSubmission.
-func (r *resumedFile) Cancel() { r.cancel() }
+// Cancel implements node.RecoveredSubmission.
+func (r *recoveredFile) Cancel() { r.cancel() }
 
-// Done implements node.ResumedSubmission.
-func (r *resumedFile) Done() <-chan struct{} { return r.done }
+// Done implements node.RecoveredSubmission.
+func (r *recoveredFile) Done() <-chan struct{} { return r.done }
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -55,31 +55,6 @@
 	return s.conclude(ctx, l, sent, content, time.Time{})
 }
 
-// resumeLine awaits the outcome of a line that an earlier leader, or an earlier attempt whose outcome could not be
-// stored, has left in a file at a batch backend, and records it. After a failure the line is not sent again before the
-// time until which it is stored as in flight: a later attempt at a streaming backend may have followed that file.
-func (s *Service) resumeLine(ctx context.Context, expires time.Time, l *line, files *submissions) node.AnswerKind {
-	traceID := l.record.TraceID
-	submitted, attempt := files.find(traceID)
-	spec, body, invalid := s.requestFor(l.task.Body)
-	if invalid != nil {
-		s.logUnrecorded(l, s.failLine(ctx, l, CodeServerError))
-		return node.Failed
-	}
-	end := s.attemptEnd(l.record.untilTime(), expires)
-	defer time.AfterFunc(s.remaining(end), submitted.Cancel).Stop()
-	content := &responseCollector{}
-	request := s.newRequest(spec, l, traceID, body, content)
-	sent := s.serve(ctx, request, func() (node.Answer, error) {
-		return s.Core.Resume(ctx, request, attempt, submitted.Join), nil
-	})
-	answer := s.conclude(ctx, l, sent, content, l.record.untilTime())
-	if l.record.State == lineInFlight {
-		sleep(ctx, failureDelay) // avoids a busy loop while the store rejects writes
-	}
-	return answer
-}
-
 // deadlineMargin returns how long before the time until which a line is stored as in flight its attempt is given up.
 func (s *Service) deadlineMargin() time.Duration {
 	return min(s.LineTimeout/deadlineMarginDivisor, maxDeadlineMargin)
@@ -190,8 +165,8 @@
 	})
 }
 
-// retryLine schedules a line to be sent again after a delay, which is extended by a random jitter of up to one half, and
-// not before the given time, which may have been set by another process.
+// retryLine schedules a line to be sent again after a delay, which is extended by a random jitter of up to one half,
+// and not before the given time, which may have been set by another process.
 func (s *Service) retryLine(ctx context.Context, l *line, attempts int, delay time.Duration, notBefore time.Time) {
 	delay += time.Duration(rand.Int64N(int64(delay)/2 + 1))
 	wait := max(delay, s.remaining(notBefore))
--- a/internal/batch/fixture_test.go
+++ b/internal/batch/fixture_test.go
@@ -35,7 +35,7 @@
 	o := batch.Options{
 		Core:               n.Core,
 		Store:              s,
-		Resumer:            n.Backends,
+		Recoverer:          n.Backends,
 		Log:                zap.NewNop(),
 		Classes:            testpeer.Names.Classes,
 		Tenants:            testpeer.Names.Tenants,
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -119,7 +119,7 @@
 // file is awaited, whatever its time in the store is.
 func (d *scheduler) enqueue(ctx context.Context, l *line) {
 	if d.isSubmitted(l) {
-		d.resume(ctx, l)
+		d.recoverLine(ctx, l)
 		return
 	}
 	d.waiting = append(d.waiting, l)
@@ -135,13 +135,13 @@
 	})
 }
 
-// resume awaits the outcome of a line that is in a file at a batch backend. If no slot of the limiter is free, it does
-// without: the line is in flight in any case.
-func (d *scheduler) resume(ctx context.Context, l *line) {
+// recoverLine awaits the outcome of a line that is in a file at a batch backend. If no slot of the limiter is free, it
+// does without: the line is in flight in any case.
+func (d *scheduler) recoverLine(ctx context.Context, l *line) {
 	acquired := d.term.limiter.tryAcquire()
 	d.sending.Go(func() {
 		traceID := l.record.TraceID
-		answer := d.service.resumeLine(ctx, d.expires, l, d.term.submissions)
+		answer := d.service.recoverLine(ctx, d.expires, l, d.term.submissions)
 		if answer == node.Rejected { // this member cancels late files: no evidence that the backends lack capacity
 			answer = node.ClientDisconnected
 		}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -30,12 +30,12 @@
 
 // Options configure a Service.
 type Options struct {
-	Core    *node.Core
-	Store   store.Store
-	Resumer SubmissionResumer
-	Log     *zap.Logger
-	Classes []string
-	Tenants []string // if empty, every tenant name is accepted
+	Core      *node.Core
+	Store     store.Store
+	Recoverer SubmissionRecoverer
+	Log       *zap.Logger
+	Classes   []string
+	Tenants   []string // if empty, every tenant name is accepted
 	// Fields are the keys of a line's metadata, Defaults the values for keys that the metadata lacks.
 	Fields   RequestFields
 	Defaults RequestFields
--- a/internal/batch/submissions.go
+++ b/internal/batch/submissions.go
@@ -12,11 +12,11 @@
 	"standpoint/internal/store"
 )
 
-// SubmissionResumer awaits the end of submissions that earlier processes have recorded.
-type SubmissionResumer interface {
-	// Resume awaits the end of a submission. Its batch is cancelled after the time limit. The journal says when the
+// SubmissionRecoverer awaits the end of submissions that earlier processes have recorded.
+type SubmissionRecoverer interface {
+	// Recover awaits the end of a submission. Its batch is cancelled after the time limit. The journal says when the
 	// submission is released.
-	Resume(submission node.Submission, journal node.Journal, limit time.Duration) node.ResumedSubmission
+	Recover(submission node.Submission, journal node.Journal, limit time.Duration) node.RecoveredSubmission
 }
 
 // submissions records the files at batch backends that contain lines of this member's batches, during one leadership.
@@ -34,9 +34,9 @@
 // submission is a recorded file.
 type submission struct {
 	node.Submission
-	version uint64         // version of the record in the store
-	open    map[string]int // by trace ID: the attempt numbers of the requests whose outcome is not stored
-	resumed node.ResumedSubmission
+	version   uint64         // version of the record in the store
+	open      map[string]int // by trace ID: the attempt numbers of the requests whose outcome is not stored
+	recovered node.RecoveredSubmission
 }
 
 // newSubmissions returns the submissions of a leadership, with those that earlier leaders have recorded. Of these,
@@ -88,29 +88,29 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.byKey[record.Key] = taken
-	resumed := j.resume(taken)
+	recovered := j.startRecovery(taken)
 	if len(taken.open) > 0 {
 		return
 	}
-	resumed.Cancel()
+	recovered.Cancel()
 	go func() {
-		<-resumed.Done()
+		<-recovered.Done()
 		j.deleteSettled()
 	}()
 }
 
-// resume awaits the end of a submission, unless that is being done. Its lines cancel it in time, but those of a batch
-// that waits for its turn do not do so yet. The caller holds j.mu.
-func (j *submissions) resume(s *submission) node.ResumedSubmission {
-	if s.resumed == nil {
-		s.resumed = j.service.Resumer.Resume(s.Submission, j, j.service.LineTimeout)
+// startRecovery awaits the end of a submission, unless that is being done. Its lines cancel it in time, but those of a
+// batch that waits for its turn do not do so yet. The caller holds j.mu.
+func (j *submissions) startRecovery(s *submission) node.RecoveredSubmission {
+	if s.recovered == nil {
+		s.recovered = j.service.Recoverer.Recover(s.Submission, j, j.service.LineTimeout)
 	}
-	return s.resumed
+	return s.recovered
 }
 
 // find returns the submission with the latest attempt of a request whose outcome is not stored, and the attempt's
 // number; nil if there is none. Earlier attempts of the request have ended.
-func (j *submissions) find(traceID string) (found node.ResumedSubmission, attempt int) {
+func (j *submissions) find(traceID string) (found node.RecoveredSubmission, attempt int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var latest *submission
@@ -123,7 +123,7 @@
 	if latest == nil {
 		return nil, 0
 	}
-	return j.resume(latest), attempt
+	return j.startRecovery(latest), attempt
 }
 
 // contains reports whether a submission contains a request whose outcome is not stored.
@@ -214,11 +214,11 @@
 // hasEnded reports whether nothing of the submission runs at its backend, provided that the outcomes of its requests
 // are stored.
 func (s *submission) hasEnded() bool {
-	if s.resumed == nil {
+	if s.recovered == nil {
 		return true
 	}
 	select {
-	case <-s.resumed.Done():
+	case <-s.recovered.Done():
 		return true
 	default:
 		return false
--- a/internal/batch/submissions_test.go
+++ b/internal/batch/submissions_test.go
@@ -101,7 +101,7 @@
 
 // Guards against a server that cannot end because it drains while a file of an earlier leader is there: the batch is
 // cancelled, and its line is sent to another server.
-func TestDrainCancelsResumedSubmission(t *testing.T) {
+func TestDrainCancelsRecoveredSubmission(t *testing.T) {
 	t.Parallel()
 	for name, drained := range map[string]standpoint.State{
 		"draining": standpoint.Draining, "removed": standpoint.Removed,
--- a/internal/daemon/batch.go
+++ b/internal/daemon/batch.go
@@ -23,7 +23,7 @@
 	service := batch.New(batch.Options{
 		Core:               a.core,
 		Store:              a.store,
-		Resumer:            a.backends,
+		Recoverer:          a.backends,
 		Log:                a.log,
 		Classes:            a.operator.Names.Classes,
 		Tenants:            a.operator.Names.Tenants,
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -241,8 +241,8 @@
 			c.Pools.RecordRejected(&request.Spec)
 		}
 	}
-	if request.resumed {
-		request.settle(answerOfResumed(m.result.Code))
+	if request.recovered {
+		request.settle(answerOfRecovered(m.result.Code))
 	}
 	c.decide(&standpoint.Outcome{
 		Request:       request.Spec.ID,
@@ -260,14 +260,6 @@
 	c.release(request)
 }
 
-// answerOfResumed returns the answer of a resumed request whose only attempt ended without an answer.
-func answerOfResumed(code standpoint.OutcomeCode) Answer {
-	if code.NeverRan() {
-		return Answer{Kind: Rejected}
-	}
-	return Answer{Kind: Failed}
-}
-
 // observation returns what the pools and the fleet are notified of at the end of the attempt.
 func (m attemptFinished) observation() Observation {
 	attempt := m.attempt
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -75,11 +75,11 @@
 	CachedBackendStartedAt int64
 	CachedTokens           float64
 
-	// Journal records the files at batch backends that contain the request; nil if no other process would resume it.
+	// Journal records the files at batch backends that contain the request; nil if no other process would recover it.
 	Journal Journal
 
 	connection ClientConnection
-	resumed    bool          // an earlier process has sent it, as Core.Resume describes
+	recovered  bool          // an earlier process has sent it, as Core.Recover describes
 	done       chan Answer   // gets the one final answer; its buffer of one keeps the sender from blocking
 	idle       chan struct{} // closed as Idle describes
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -60,26 +60,6 @@
 	return attempt
 }
 
-// Resume serves a request that an earlier process has sent with the given attempt number and whose answer has not
-// begun, and returns its final answer. run carries the attempt; the decision module has no part in it, and no other
-// attempt follows. The earlier process has admitted the request, so that it counts against the limits here but is never
-// rejected, and is not charged for again.
-func (c *Core) Resume(ctx context.Context, request *Request, number int, run func(*Attempt)) Answer {
-	c.limiter.AcquireAdmitted(request.Spec.Tenant, 1)
-	defer c.limiter.Release(request.Spec.Tenant, 1)
-	attempt := c.adoptedAttempt(request)
-	attempt.Number = number
-	request.resumed = true
-	c.post(adoptRequest{request})
-	go run(attempt)
-	answer := c.await(ctx, request)
-	if c.Fleet != nil {
-		c.Fleet.Settle(&request.Spec, Charge{Budget: NoBudget}, answer)
-	}
-	c.countRequest(request, answer, nil)
-	return answer
-}
-
 // admit submits a request and waits for its answer if the limits of this node and the budgets that the request counts
 // against allow it. Otherwise it rejects the request, and submitted is false.
 func (c *Core) admit(ctx context.Context, request *Request) (answer Answer, submitted bool, err error) {
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -17,7 +17,7 @@
 	Attempt int    `json:"attempt,omitempty"` // number of the attempt, from 0
 }
 
-// Journal records submissions durably, so that another process can resume those of a process that has ended or may no
+// Journal records submissions durably, so that another process can recover those of a process that has ended or may no
 // longer decide on them.
 type Journal interface {
 	// Record stores a submission. The first time, it gives the submission its key; later it replaces the stored one. It
@@ -28,8 +28,8 @@
 	Released() <-chan struct{}
 }
 
-// ResumedSubmission is a submission of an earlier process whose end this process awaits.
-type ResumedSubmission interface {
+// RecoveredSubmission is a submission of an earlier process whose end this process awaits.
+type RecoveredSubmission interface {
 	// Join blocks until the submission has ended or is released, and then finishes an attempt of it.
 	Join(*Attempt)
 	// Cancel cancels the batch at the backend. It does not block.
