Batch: the record of a recovered file goes also when its lines failed before it ended

Cause: records are deleted as a line settles, if the file has ended by then. Lines that fail without the file's results (their batch's input no longer holds) settle earlier, so that the record stood until the next change of leader. Change: the end of each recovered file looks for records to delete. Result: found by reading; package batch passes under the race detector.

--- a/internal/batch/submissions.go
+++ b/internal/batch/submissions.go
@@ -89,21 +89,21 @@
 	defer j.mu.Unlock()
 	j.byKey[record.Key] = taken
 	recovered := j.startRecovery(taken)
-	if len(taken.open) > 0 {
-		return
+	if len(taken.open) == 0 {
+		recovered.Cancel()
 	}
-	recovered.Cancel()
-	go func() {
-		<-recovered.Done()
-		j.deleteSettled()
-	}()
 }
 
 // startRecovery awaits the end of a submission, unless that is being done. Its lines cancel it in time, but those of a
 // batch that waits for its turn do not do so yet. The caller holds j.mu.
 func (j *submissions) startRecovery(s *submission) node.RecoveredSubmission {
 	if s.recovered == nil {
-		s.recovered = j.service.Recoverer.Recover(s.Submission, j, j.service.LineTimeout)
+		recovered := j.service.Recoverer.Recover(s.Submission, j, j.service.LineTimeout)
+		s.recovered = recovered
+		go func() { // its lines may have been settled before, without its results
+			<-recovered.Done()
+			j.deleteSettled()
+		}()
 	}
 	return s.recovered
 }
