Handover: the socket that receives streams has its name only once it listens

What callers saw: nothing known; a stream passed to a process that had just started was refused and stayed in the old process. Cause: a socket has its name once it is bound, and listens a moment later; senders find it by its name. Change: it is bound under another name and renamed once it listens.

--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -20,6 +20,8 @@
 	liveSuffix = ".live"
 	// socketSuffix is appended to the name of the live file in the name of the socket that receives streams.
 	socketSuffix = ".take"
+	// unreadySuffix is appended to the name of that socket until it listens.
+	unreadySuffix = ".unready"
 	// tempSuffix is appended to the name of the live file in the name of a file that is being written.
 	tempSuffix = ".next"
 	// lockSuffix ends the name of the file that is locked while the record is changed.
@@ -93,8 +95,9 @@
 	if unix.Flock(int(file.Fd()), unix.LOCK_SH|unix.LOCK_NB) != nil {
 		return true
 	}
-	_ = os.Remove(name + socketSuffix) // may not exist
-	_ = os.Remove(name)                // may have been removed by a sibling
+	_ = os.Remove(name + socketSuffix)                 // may not exist
+	_ = os.Remove(name + socketSuffix + unreadySuffix) // may not exist
+	_ = os.Remove(name)                                // may have been removed by a sibling
 	return false
 }
 
--- a/internal/handover/stream_receiver.go
+++ b/internal/handover/stream_receiver.go
@@ -47,13 +47,17 @@
 	}
 }
 
-// listenForStreams opens the socket that siblings pass streams to.
+// listenForStreams opens the socket that siblings pass streams to. It has its name only once it listens: a sibling that
+// finds it earlier would be refused.
 func (c *Channel) listenForStreams() (*net.UnixListener, error) {
 	path := c.liveFile.Name() + socketSuffix
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
+	unready := path + unreadySuffix
+	for _, leftover := range []string{path, unready} {
+		if err := os.Remove(leftover); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, err
+		}
 	}
-	short, release, err := shortSocketPath(path)
+	short, release, err := shortSocketPath(unready)
 	if err != nil {
 		return nil, err
 	}
@@ -63,6 +67,9 @@
 		return nil, err
 	}
 	listener.SetUnlinkOnClose(false) // the short path is invalid by then; Channel.Close removes the file
+	if err := os.Rename(unready, path); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
 	return listener, nil
 }
 
--- a/internal/handover/stream_test.go
+++ b/internal/handover/stream_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 )
@@ -70,6 +72,34 @@
 	require.Equal(t, "text", <-p.taken)
 }
 
+// Guards against a stream that is refused because the socket of the receiver has its name before it listens.
+func TestNamedSocketListens(t *testing.T) {
+	t.Parallel()
+	receiver, err := open(t.TempDir(), "n", 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = receiver.Close() })
+	path := receiver.liveFile.Name() + socketSuffix
+	short, release, err := shortSocketPath(path)
+	require.NoError(t, err)
+	t.Cleanup(release)
+	for range 2000 {
+		ready := make(chan *net.UnixListener)
+		go func() {
+			listener, err := receiver.listenForStreams()
+			assert.NoError(t, err)
+			ready <- listener
+		}()
+		var conn net.Conn
+		for errors.Is(err, os.ErrNotExist) || conn == nil {
+			conn, err = net.Dial("unix", short)
+			require.False(t, err != nil && !errors.Is(err, os.ErrNotExist), err)
+		}
+		require.NoError(t, conn.Close())
+		require.NoError(t, (<-ready).Close())
+		require.NoError(t, os.Remove(path))
+	}
+}
+
 // Guards against a refusal that the sender takes for an uncertain outcome: it keeps the stream.
 func TestRefusalIsCertain(t *testing.T) {
 	t.Parallel()
