Tests and laboratory: addresses of processes have hosts of their own

Cause: a test asked the kernel for a free port of 127.0.0.1, let it go, and started a process on it; another test or an outgoing connection could take it in between.

--- a/internal/datagram/datagram_test.go
+++ b/internal/datagram/datagram_test.go
@@ -9,20 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
-)
 
-// freeAddresses returns loopback addresses with free ports.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var all []string
-	for range n {
-		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer conn.Close()
-		all = append(all, conn.LocalAddr().String())
-	}
-	return all
-}
+	"standpoint/internal/loopback"
+)
 
 type received struct {
 	from int
@@ -70,7 +59,8 @@
 // Messages are passed on with the number of their sender. Messages of unknown senders and messages that are empty or
 // too long are dropped, as are those to unknown nodes.
 func TestOnlyMessagesOfKnownNodesAreReceived(t *testing.T) {
-	peers := freeAddresses(t, 2)
+	peers, err := loopback.FreeAddresses(2)
+	require.NoError(t, err)
 	first, _ := startExchange(t, peers[0], peers)
 	_, got := startExchange(t, peers[1], peers)
 	require.Equal(t, received{0, "hello"}, sendUntilReceived(t, first, 1, "hello", got))
@@ -95,7 +85,8 @@
 // While another process uses its address, an exchange receives nothing and its peers do not block; it binds the address
 // once that is free.
 func TestExchangeBindsOnceTheAddressIsFree(t *testing.T) {
-	peers := freeAddresses(t, 2)
+	peers, err := loopback.FreeAddresses(2)
+	require.NoError(t, err)
 	other, err := net.ListenPacket("udp4", peers[1])
 	require.NoError(t, err)
 	first, _ := startExchange(t, peers[0], peers)
--- a/internal/lab/experiment/sockets.go
+++ b/internal/lab/experiment/sockets.go
@@ -8,7 +8,6 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,6 +21,7 @@
 	"standpoint/internal/lab/emulator/server"
 	"standpoint/internal/lab/load"
 	"standpoint/internal/lab/stage"
+	"standpoint/internal/loopback"
 )
 
 // Bounds of an experiment on sockets.
@@ -229,22 +229,13 @@
 	return b.String()
 }
 
-// freeAddress returns a loopback address with a port that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // startNode starts a daemon process and waits until it serves its metrics.
 func (s *socketRun) startNode(ctx context.Context, i int) (err error) {
 	n := &socketNode{configFile: filepath.Join(s.dir, fmt.Sprintf("node-%d.toml", i))}
-	if n.clientAddress, err = freeAddress(); err != nil {
+	if n.clientAddress, err = loopback.FreeAddress(); err != nil {
 		return err
 	}
-	if n.metricsAddress, err = freeAddress(); err != nil {
+	if n.metricsAddress, err = loopback.FreeAddress(); err != nil {
 		return err
 	}
 	if err := os.WriteFile(n.configFile, []byte(s.operatorFile(n, i)), 0o600); err != nil {
--- a/internal/lab/rig/node_file.go
+++ b/internal/lab/rig/node_file.go
@@ -1,46 +1,12 @@
 package rig
 
 import (
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"strconv"
 	"strings"
 	"time"
-)
 
-// findFreeAddresses returns count loopback addresses that are free for TCP and UDP. Their host is a random address of
-// the loopback range that nothing else here uses, so that a killed process finds its ports free when it restarts,
-// whatever connections others have opened meanwhile.
-func findFreeAddresses(count int) ([]string, error) {
-	for range 50 {
-		host := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(250))
-		var found []string
-		var sockets []interface{ Close() error }
-		for port := 21000; len(found) < count && port < 21000+2*count; port++ {
-			address := net.JoinHostPort(host, strconv.Itoa(port))
-			listener, err := net.Listen("tcp", address)
-			if err != nil {
-				break
-			}
-			sockets = append(sockets, listener)
-			packets, err := net.ListenPacket("udp", address)
-			if err != nil {
-				break
-			}
-			sockets = append(sockets, packets)
-			found = append(found, address)
-		}
-		for _, socket := range sockets {
-			_ = socket.Close()
-		}
-		if len(found) == count {
-			return found, nil
-		}
-	}
-	return nil, errors.New("too few free ports on 50 random loopback addresses")
-}
+	"standpoint/internal/loopback"
+)
 
 // addresses are the addresses on which one node listens.
 type addresses struct {
@@ -55,7 +21,7 @@
 
 // findNodeAddresses returns free addresses for count nodes.
 func findNodeAddresses(count int) ([]addresses, error) {
-	free, err := findFreeAddresses(4 * count)
+	free, err := loopback.FreeAddresses(4 * count)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/stage/discovery.go
+++ b/internal/lab/stage/discovery.go
@@ -19,6 +19,7 @@
 	"standpoint/internal/control"
 	"standpoint/internal/endpoints"
 	"standpoint/internal/lab/responder"
+	"standpoint/internal/loopback"
 )
 
 // DiscoveryOptions describes a measurement of discovery with the daemon as a process.
@@ -140,16 +141,13 @@
 }
 
 // startDaemon starts the daemon and waits until it has found all n backends.
-func (d *discoveryRun) startDaemon(ctx context.Context, mechanism string, n int) error {
+func (d *discoveryRun) startDaemon(ctx context.Context, mechanism string, n int) (err error) {
 	if err := os.MkdirAll(d.Dir, 0o700); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if d.clientAddress, err = loopback.FreeAddress(); err != nil {
 		return err
 	}
-	d.clientAddress = l.Addr().String()
-	l.Close()
 	browseMode, server, push, poll, refresh := "poll", d.server.Address, "", "150ms", "2s"
 	switch mechanism {
 	case "push":
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -12,7 +12,6 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,6 +23,7 @@
 	"standpoint/internal/control"
 	"standpoint/internal/lab"
 	"standpoint/internal/lab/emulator/server"
+	"standpoint/internal/loopback"
 	"standpoint/internal/migration"
 	"standpoint/internal/migration/controller"
 )
@@ -174,12 +174,9 @@
 
 // startDaemon writes the operator file and starts the daemon.
 func (s *demo) startDaemon(ctx context.Context) (stop func() error, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if s.clientAddress, err = loopback.FreeAddress(); err != nil {
 		return nil, err
 	}
-	s.clientAddress = l.Addr().String()
-	l.Close()
 	var b strings.Builder
 	fmt.Fprintf(&b, `# Written by "lab stage".
 name = "stage-1"
--- a/internal/testpeer/backend.go
+++ b/internal/testpeer/backend.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"standpoint"
+	"standpoint/internal/loopback"
 	"standpoint/internal/node"
 )
 
@@ -75,11 +76,10 @@
 	conn.Close()
 }
 
-// FreeAddress returns a loopback address on which nothing listens.
+// FreeAddress returns a loopback address on which nothing listens, and which nothing else takes.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
