TestNextLeaderLeavesGoneServers: a server that ends while the next leader awaits a file there

Need: the servers' part of the case's related paths lacked one that ends after its leader has left. Result: passes for all five departures under the race detector; each line is served, none has two attempts out at once.

--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -377,3 +377,34 @@
 		}
 	}
 }
+
+// Guards against lines that are given up, or wait for their time in vain, because their server ends while the next
+// leader awaits a file there: they are sent to another server.
+func TestNextLeaderLeavesGoneServers(t *testing.T) {
+	t.Parallel()
+	for _, d := range departures {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			counter := testpeer.NewAttemptCounter()
+			servers := map[string]*testpeer.BatchBackend{}
+			var all []*testpeer.BatchBackend
+			for range 2 {
+				server := testpeer.NewBatchBackend(t, counter, func(string, int) int {
+					time.Sleep(200 * time.Millisecond)
+					return http.StatusOK
+				})
+				servers[server.Address] = server
+				all = append(all, server)
+			}
+			var once sync.Once
+			gone := func(r *http.Request) testpeer.CallFault {
+				once.Do(func() { go servers[r.Host].Stop() })
+				return testpeer.NoFault
+			}
+			b, _, _ := takeover(t, 2*time.Second, d, moments["after"], all, allListed, gone)
+			counts := batch.RequestCounts{Total: takeoverLines, Completed: takeoverLines}
+			require.Equal(t, counts, b.RequestCounts)
+			require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
+		})
+	}
+}
