Backend: a late drain does not undo the removal of a server that takes files

What callers saw: nothing; a goroutine stayed for each such server that drained and was removed while its mailbox was full. Cause: a drain took back a removal; messages that wait for a full mailbox may come in another order. Change: a drain cancels the files, and leaves the removal as it is. Result: TestLateDrainDoesNotUndoRemoval fails on the code before (not ended after 5 s) and passes now; package backend passes under the race detector.

--- a/internal/backend/batch_backend.go
+++ b/internal/backend/batch_backend.go
@@ -53,7 +53,6 @@
 			case processChanged:
 				b.address = msg.process.address
 			case drainStarted:
-				removed = false
 				b.cancelAll()
 			case backendRemoved:
 				removed = true
