Backend: the silence of a server begins with a call that it did not answer

What callers saw: after the node was stalled for longer than batch_server.lost, one failed call to a server that takes files gave up its lines ("may have been executed") or ran them again, though the server answered the next call. Cause: the time without a response counted from the last response; a stalled process makes no calls. Change: it counts from the first call without a response, and takes two in a row, in polls, fetches of results and searches for uncertain creations. With the given settings a silent server counts as lost as soon as before.

--- a/internal/backend/batch_lookup.go
+++ b/internal/backend/batch_lookup.go
@@ -43,7 +43,7 @@
 		zap.String("file", file.id),
 		zap.Int("lines", len(file.attempts)),
 		zap.Error(cause))
-	search := creationSearch{backend: b, base: base, fileID: file.id, began: time.Now()}
+	search := creationSearch{backend: b, base: base, fileID: file.id, unanswered: silence{limit: b.Batch.LostTimeout}}
 	for {
 		if file.isReleased() {
 			return batchObject{}, releasedResult, errReleased
@@ -79,10 +79,10 @@
 
 // creationSearch looks for the batch that a backend may have created of a file.
 type creationSearch struct {
-	backend *batchBackend
-	base    string
-	fileID  string
-	began   time.Time
+	backend    *batchBackend
+	base       string
+	fileID     string
+	unanswered silence
 
 	deletionSent bool // a call to delete the file may have taken effect
 	fileDeleted  bool // the file is deleted, so that no batch can be created of it
@@ -90,6 +90,7 @@
 
 // look looks for the batch once. A batch that is not listed may be created yet, as long as its input file exists.
 func (s *creationSearch) look() (batchObject, creationOutcome, error) {
+	made := time.Now()
 	found, listed, err := s.findBatch()
 	switch {
 	case err == nil && listed:
@@ -102,7 +103,10 @@
 		return batchObject{}, creationUnknown, err
 	}
 	switch {
-	case err == nil || time.Since(s.began) <= s.backend.Batch.LostTimeout:
+	case err == nil:
+		s.unanswered.end()
+		return batchObject{}, creationPending, nil
+	case !s.unanswered.add(made):
 		return batchObject{}, creationPending, nil
 	case isServerProcessGone(err):
 		return batchObject{}, processGone, err
--- a/internal/backend/batch_run.go
+++ b/internal/backend/batch_run.go
@@ -118,11 +118,12 @@
 // fetchContent fetches the content of a file. A call that got no usable response is repeated until the backend counts
 // as lost: the lines have run, and would run again without their results.
 func (b *batchBackend) fetchContent(base, id string, file *batchFile) ([]byte, error) {
-	began := time.Now()
+	unanswered := silence{limit: b.Batch.LostTimeout}
 	for {
 		if file.isReleased() {
 			return nil, errReleased
 		}
+		made := time.Now()
 		var content []byte
 		err := b.get(base+"/v1/files/"+id+"/content", &content)
 		var failed *callError
@@ -131,7 +132,7 @@
 			return content, nil
 		case errors.As(err, &failed) && failed.refused() && failed.status != http.StatusServiceUnavailable:
 			return nil, err
-		case time.Since(began) > b.Batch.LostTimeout:
+		case unanswered.add(made):
 			return nil, fmt.Errorf("backend lost, results not fetched in time: %w", err)
 		}
 		b.waitToPoll(file, nil)
@@ -236,7 +237,7 @@
 // attempts after an error, which means that the backend counts as lost.
 func (b *batchBackend) awaitBatch(base string, file *batchFile) (final batchObject, result node.Result, err error) {
 	url := base + "/v1/batches/" + file.batchID
-	lastResponse := time.Now()
+	unanswered := silence{limit: b.Batch.LostTimeout}
 	cancelled := false
 	for {
 		if file.isReleased() {
@@ -245,14 +246,15 @@
 		if file.ctx.Err() != nil && !cancelled {
 			cancelled = b.do(batchCall{method: http.MethodPost, url: url + "/cancel"}) == nil
 		}
+		made := time.Now()
 		var object batchObject
 		err := b.get(url, &object)
 		switch {
 		case err == nil && object.isFinal():
 			return object, node.Result{}, nil
 		case err == nil:
-			lastResponse = time.Now()
-		case time.Since(lastResponse) > b.Batch.LostTimeout:
+			unanswered.end()
+		case unanswered.add(made):
 			return object, lostBatchResult(err), fmt.Errorf("backend lost, no response to a poll in time: %w", err)
 		}
 		wake := file.ctx.Done()
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -378,6 +378,53 @@
 	}
 }
 
+// Guards against lines that are given up although their server answers: the process was stalled for longer than the time
+// after which a server counts as lost, and the first call after that fails.
+func TestStalledProcessKeepsItsServers(t *testing.T) {
+	t.Parallel()
+	for name, isFirstFault := range map[string]func(*http.Request) bool{
+		"polls":    func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/v1/batches/") },
+		"results":  func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/content") },
+		"creation": isListing,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			counter := testpeer.NewAttemptCounter()
+			server := testpeer.NewBatchBackend(t, counter, succeed)
+			c := newCluster()
+			m := startMember(t, c, 1, 10*time.Second, batchEndpoint("b", server))
+			creationFails := firstCreation()
+			var calls atomic.Int32
+			server.SetFault(func(r *http.Request) testpeer.CallFault {
+				switch {
+				case name == "creation" && creationFails(r):
+					return testpeer.LostAnswer
+				case !isFirstFault(r):
+					return testpeer.NoFault
+				}
+				switch calls.Add(1) {
+				case 1:
+					m.gate.setStalled(true)
+					time.AfterFunc(800*time.Millisecond, func() { m.gate.setStalled(false) })
+					return testpeer.LostCall
+				case 2: // the transport repeats a call that fails on a reused connection
+					if name != "creation" {
+						return testpeer.LostCall
+					}
+				}
+				return testpeer.NoFault
+			})
+			b := m.wait(m.submit(inputLines(takeoverLines), "1h").ID, 20*time.Second)
+			require.Positive(t, calls.Load())
+			counts := batch.RequestCounts{Total: takeoverLines, Completed: takeoverLines}
+			require.Equal(t, counts, b.RequestCounts)
+			for line, attempts := range counter.Attempts() {
+				require.Equal(t, 1, attempts, line)
+			}
+		})
+	}
+}
+
 // Guards against lines that are given up, or wait for their time in vain, because their server ends while the next
 // leader awaits a file there: they are sent to another server.
 func TestNextLeaderLeavesGoneServers(t *testing.T) {
