--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -160,22 +160,30 @@
 // member is one member of a cluster, with a node and a batch service of its own.
 type member struct {
 	*client
-	gate *processGate
-	node *testpeer.Node
-	stop func() // ends the service as SIGTERM does, and waits until it has ended
+	number int
+	gate   *processGate
+	node   *testpeer.Node
+	stop   func() // ends the service as SIGTERM does, and waits until it has ended
 }
 
+// startMember starts a member whose lines have the given timeout.
 func startMember(
 	t *testing.T, c *cluster, number int, lineTimeout time.Duration, endpoints ...node.Endpoint,
 ) *member {
 	t.Helper()
-	m := &member{gate: newProcessGate()}
+	return startMemberWith(t, c, number, func(o *batch.Options) { o.LineTimeout = lineTimeout }, endpoints...)
+}
+
+// startMemberWith starts a member with edited options.
+func startMemberWith(
+	t *testing.T, c *cluster, number int, edit func(*batch.Options), endpoints ...node.Endpoint,
+) *member {
+	t.Helper()
+	m := &member{number: number, gate: newProcessGate()}
 	settings := testpeer.Settings()
 	settings.Cancel = false
 	m.node = testpeer.StartDialing(t, zap.NewNop(), settings, m.gate.dial, endpoints...)
-	service, api := serve(t, m.node, &memberStore{cluster: c, member: number, gate: m.gate}, func(o *batch.Options) {
-		o.LineTimeout = lineTimeout
-	})
+	service, api := serve(t, m.node, &memberStore{cluster: c, member: number, gate: m.gate}, edit)
 	m.client = api
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
