--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -143,7 +143,7 @@
 }
 
 func (s *memberStore) Write(ctx context.Context, ops ...store.Op) (uint64, error) {
-	if err := s.gate.pass(); err != nil {
+	if err := errors.Join(s.gate.pass(), ctx.Err()); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
@@ -386,6 +386,36 @@
 	}
 }
 
+// Guards against results that are lost at servers that cannot list their batches: the next leader knows the ID of a
+// batch whose creation was confirmed. If it was not, nobody can know, and the lines get an error at once.
+func TestNextLeaderAtServersWithoutList(t *testing.T) {
+	t.Parallel()
+	withoutList := func(r *http.Request) testpeer.CallFault {
+		if isListing(r) {
+			return testpeer.Unsupported
+		}
+		return testpeer.NoFault
+	}
+	for _, d := range departures {
+		for momentName, counts := range map[string]batch.RequestCounts{
+			"while": {Total: takeoverLines, Failed: takeoverLines},
+			"after": {Total: takeoverLines, Completed: takeoverLines},
+		} {
+			t.Run(d.name+" "+momentName, func(t *testing.T) {
+				t.Parallel()
+				counter := testpeer.NewAttemptCounter()
+				server := testpeer.NewBatchBackend(t, counter, succeed)
+				servers := []*testpeer.BatchBackend{server}
+				b, _, _ := takeover(t, 2*time.Second, d, moments[momentName], servers, allListed, withoutList)
+				require.Equal(t, counts, b.RequestCounts)
+				for line, attempts := range counter.Attempts() {
+					require.Equal(t, 1, attempts, line)
+				}
+			})
+		}
+	}
+}
+
 // Guards against lines that are given up although their server answers: the process was stalled for longer than the time
 // after which a server counts as lost, and the first call after that fails.
 func TestStalledProcessKeepsItsServers(t *testing.T) {
