Two tests of takeovers that hung on chance: the server does not answer first

Change: the unwanted batch runs until it was cancelled; a leader that stops does so before the call is answered, as in the other departures. What is required is as before.

--- a/internal/batch/submissions_test.go
+++ b/internal/batch/submissions_test.go
@@ -84,8 +84,12 @@
 // their record.
 func TestUnwantedSubmissionIsCancelled(t *testing.T) {
 	t.Parallel()
-	server := testpeer.NewBatchBackend(t, testpeer.NewAttemptCounter(), succeed)
 	cancelled := make(chan struct{}, 10)
+	release := make(chan struct{})
+	server := testpeer.NewBatchBackend(t, testpeer.NewAttemptCounter(), func(string, int) int {
+		<-release // a batch that has ended needs no cancel
+		return http.StatusOK
+	})
 	server.SetFault(func(r *http.Request) testpeer.CallFault {
 		if r.URL.Path == "/v1/batches/batch_0/cancel" {
 			cancelled <- struct{}{}
@@ -96,6 +100,7 @@
 	storeSubmission(t, c, server)
 	startMember(t, c, 1, time.Minute)
 	<-cancelled
+	close(release)
 	require.Eventually(t, func() bool { return len(c.List("submission/")) == 0 }, 5*time.Second, time.Millisecond)
 }
 
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -218,7 +219,7 @@
 	{name: "stopped", depart: func(t *testing.T, c *cluster, first *member) {
 		stopped := time.Now()
 		first.stop()
-		require.Less(t, time.Since(stopped), 2*time.Second, "the service must not wait for a server")
+		assert.Less(t, time.Since(stopped), 2*time.Second, "the service must not wait for a server")
 		c.elect(2)
 	}},
 	{name: "stalled", depart: func(_ *testing.T, c *cluster, first *member) {
@@ -265,12 +266,10 @@
 				return faults(r)
 			}
 			if moment(r) {
-				once.Do(func() {
+				once.Do(func() { // the call gets no response before the leader has departed
+					d.depart(t, c, first)
+					departed.Store(true)
 					close(departing)
-					if d.name != "stopped" { // that takes as long as the call
-						d.depart(t, c, first)
-						departed.Store(true)
-					}
 				})
 			}
 			return testpeer.NoFault
@@ -278,10 +277,6 @@
 	}
 	id := first.submit(inputLines(takeoverLines), "1h").ID
 	<-departing
-	if d.name == "stopped" {
-		d.depart(t, c, first)
-		departed.Store(true)
-	}
 	if d.recover != nil {
 		time.AfterFunc(time.Second, func() { d.recover(first) })
 	}
