Batch: a file whose batch has failed as a whole is cancelled, and its record goes

What callers saw: after a batch had failed under the next leader, its file ran on at the server until line_time, and its record stayed. Change: the end of a batch settles its lines in flight; a file for which no line waits is cancelled.

--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -111,6 +111,7 @@
 	for delay := minRetryDelay; ; delay = min(2*delay, maxRetryDelay) {
 		err := s.runBatch(ctx, id, term)
 		if err == nil {
+			term.submissions.settle(s.tracesInFlight(batchLinesPrefix(id))...) // of a batch that failed as a whole
 			s.deleteLines(ctx, id)
 			return
 		}
--- a/internal/batch/submissions.go
+++ b/internal/batch/submissions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +48,7 @@
 	if len(keys) == 0 {
 		return j
 	}
-	inFlight := s.tracesInFlight()
+	inFlight := s.tracesInFlight(lineKeyPrefix)
 	for _, key := range keys {
 		record, version, ok := readJSON[node.Submission](s.Store, key)
 		if !ok {
@@ -60,22 +61,22 @@
 	return j
 }
 
-// tracesInFlight returns the trace IDs of the lines that are stored as in flight.
-func (s *Service) tracesInFlight() map[string]bool {
-	traces := map[string]bool{}
-	for _, key := range s.Store.List(lineKeyPrefix) {
+// tracesInFlight returns the trace IDs of the lines that are stored as in flight under keys with a prefix.
+func (s *Service) tracesInFlight(prefix string) []string {
+	var traces []string
+	for _, key := range s.Store.List(prefix) {
 		if record, _, ok := readJSON[lineRecord](s.Store, key); ok && record.State == lineInFlight {
-			traces[record.TraceID] = true
+			traces = append(traces, record.TraceID)
 		}
 	}
 	return traces
 }
 
 // takeOver adds a submission of an earlier leader and awaits its end.
-func (j *submissions) takeOver(record node.Submission, version uint64, inFlight map[string]bool) {
+func (j *submissions) takeOver(record node.Submission, version uint64, inFlight []string) {
 	taken := &submission{Submission: record, version: version, open: map[string]int{}}
 	for _, line := range record.Lines {
-		if inFlight[line.TraceID] {
+		if slices.Contains(inFlight, line.TraceID) {
 			taken.open[line.TraceID] = line.Attempt
 		}
 	}
@@ -174,11 +175,17 @@
 // Released implements node.Journal.
 func (j *submissions) Released() <-chan struct{} { return j.leadership.Done() }
 
-// settle is called when the outcome of a request is stored. It deletes the submissions whose requests all have one.
-func (j *submissions) settle(traceID string) {
+// settle is called when the outcomes of requests are stored. It deletes the submissions whose requests all have one; a
+// batch that still runs, although no request waits for it, is cancelled first.
+func (j *submissions) settle(traceIDs ...string) {
 	j.mu.Lock()
 	for _, s := range j.byKey {
-		delete(s.open, traceID)
+		for _, traceID := range traceIDs {
+			delete(s.open, traceID)
+		}
+		if len(s.open) == 0 && !s.hasEnded() {
+			s.recovered.Cancel()
+		}
 	}
 	j.mu.Unlock()
 	j.deleteSettled()
--- a/internal/batch/submissions_test.go
+++ b/internal/batch/submissions_test.go
@@ -104,6 +104,43 @@
 	require.Eventually(t, func() bool { return len(c.List("submission/")) == 0 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against a file that keeps a server busy, and a record that stays, because the batch of its lines has failed
+// under the next leader without them: its input is not whole.
+func TestSubmissionOfFailedBatchIsCancelled(t *testing.T) {
+	t.Parallel()
+	cancelled := make(chan struct{}, 10)
+	release := make(chan struct{})
+	server := testpeer.NewBatchBackend(t, testpeer.NewAttemptCounter(), func(string, int) int {
+		<-release
+		return http.StatusOK
+	})
+	server.SetFault(func(r *http.Request) testpeer.CallFault {
+		if r.URL.Path == "/v1/batches/batch_0/cancel" {
+			cancelled <- struct{}{}
+		}
+		return testpeer.NoFault
+	})
+	c := newCluster()
+	_, first := serve(t, testpeer.Start(t, testpeer.Settings()),
+		&memberStore{cluster: c, member: 1, gate: newProcessGate()}, nil)
+	b := first.submit(inputLines(1), "1h")
+	storeSubmission(t, c, server)
+	line := fmt.Sprintf(`{"state":"out","until":%d,"tries":1,"trace":"feed"}`, time.Now().Add(time.Minute).UnixMilli())
+	_, err := c.Memory.Write(t.Context(),
+		store.Op{Key: "line/" + b.ID + "/000000", Data: []byte(line)},
+		store.Op{Key: "data/" + b.InputFileID + "/000000", ExpectedVersion: store.AnyVersion})
+	require.NoError(t, err)
+	m := startMember(t, c, 1, time.Minute)
+	require.Equal(t, batch.Failed, m.wait(b.ID, 5*time.Second).Status)
+	select {
+	case <-cancelled:
+	case <-time.After(5 * time.Second):
+		t.Error("the batch at the server was not cancelled")
+	}
+	close(release)
+	require.Eventually(t, func() bool { return len(c.List("submission/")) == 0 }, 5*time.Second, time.Millisecond)
+}
+
 // Guards against a server that cannot end because it drains while a file of an earlier leader is there: the batch is
 // cancelled, and its line is sent to another server.
 func TestDrainCancelsRecoveredSubmission(t *testing.T) {
