--- a/internal/batch/submissions_test.go
+++ b/internal/batch/submissions_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -64,22 +66,45 @@
 	}
 }
 
-// storeSubmission uploads a file with one line to a server, creates a batch of it, and stores its record as an earlier
-// leader would have done.
-func storeSubmission(t *testing.T, kv store.Store, server *testpeer.BatchBackend) {
+// storeSubmission uploads a file with the given number of lines to a server, creates a batch of it, and stores its
+// record as an earlier leader would have done. The trace ID of line i is "feed" and i.
+func storeSubmission(t *testing.T, kv store.Store, server *testpeer.BatchBackend, lines int) {
 	t.Helper()
-	contentType, body := testpeer.BatchUpload(`{"custom_id":"feed-0","body":{"messages":[{"content":"line 0"}]}}`)
+	var content strings.Builder
+	var submitted []string
+	for i := range lines {
+		fmt.Fprintf(&content, `{"custom_id":"feed%[1]d-0","body":{"messages":[{"content":"line %[1]d"}]}}`+"\n", i)
+		submitted = append(submitted, fmt.Sprintf(`{"trace":"feed%d"}`, i))
+	}
+	contentType, body := testpeer.BatchUpload(content.String())
 	response, err := http.Post("http://"+server.Address+"/v1/files", contentType, body)
 	require.NoError(t, err)
 	response.Body.Close()
 	at := &client{t, "http://" + server.Address}
 	require.Equal(t, http.StatusOK, at.call(http.MethodPost, "/v1/batches", `{"input_file_id":"file-1"}`, nil))
-	record := fmt.Sprintf(`{"backend":"b","address":%q,"file":"file-1","batch":"batch_0",`+
-		`"lines":[{"trace":"feed"}]}`, server.Address)
+	record := fmt.Sprintf(`{"backend":"b","address":%q,"file":"file-1","batch":"batch_0","lines":[%s]}`,
+		server.Address, strings.Join(submitted, ","))
 	_, err = kv.Write(t.Context(), store.Op{Key: "submission/1", Data: []byte(record)})
 	require.NoError(t, err)
 }
 
+// submitInFlight creates a batch whose lines an earlier leader has left in flight until the given time, in a file at a
+// server.
+func submitInFlight(t *testing.T, c *cluster, server *testpeer.BatchBackend, lines int, until time.Time) batch.Batch {
+	t.Helper()
+	_, first := serve(t, testpeer.Start(t, testpeer.Settings()),
+		&memberStore{cluster: c, member: 1, gate: newProcessGate()}, nil)
+	b := first.submit(inputLines(lines), "1h")
+	storeSubmission(t, c, server, lines)
+	for i := range lines {
+		record := fmt.Sprintf(`{"state":"out","until":%d,"tries":1,"trace":"feed%d"}`, until.UnixMilli(), i)
+		key := fmt.Sprintf("line/%s/%06d", b.ID, i)
+		_, err := c.Memory.Write(t.Context(), store.Op{Key: key, Data: []byte(record)})
+		require.NoError(t, err)
+	}
+	return b
+}
+
 // Guards against batches that no line waits for and that keep a server busy: the next leader cancels them, and deletes
 // their record.
 func TestUnwantedSubmissionIsCancelled(t *testing.T) {
@@ -97,7 +122,7 @@
 		return testpeer.NoFault
 	})
 	c := newCluster()
-	storeSubmission(t, c, server)
+	storeSubmission(t, c, server, 1)
 	startMember(t, c, 1, time.Minute)
 	<-cancelled
 	close(release)
@@ -121,14 +146,9 @@
 		return testpeer.NoFault
 	})
 	c := newCluster()
-	_, first := serve(t, testpeer.Start(t, testpeer.Settings()),
-		&memberStore{cluster: c, member: 1, gate: newProcessGate()}, nil)
-	b := first.submit(inputLines(1), "1h")
-	storeSubmission(t, c, server)
-	line := fmt.Sprintf(`{"state":"out","until":%d,"tries":1,"trace":"feed"}`, time.Now().Add(time.Minute).UnixMilli())
-	_, err := c.Memory.Write(t.Context(),
-		store.Op{Key: "line/" + b.ID + "/000000", Data: []byte(line)},
-		store.Op{Key: "data/" + b.InputFileID + "/000000", ExpectedVersion: store.AnyVersion})
+	b := submitInFlight(t, c, server, 1, time.Now().Add(time.Minute))
+	chunk := store.Op{Key: "data/" + b.InputFileID + "/000000", ExpectedVersion: store.AnyVersion}
+	_, err := c.Memory.Write(t.Context(), chunk)
 	require.NoError(t, err)
 	m := startMember(t, c, 1, time.Minute)
 	require.Equal(t, batch.Failed, m.wait(b.ID, 5*time.Second).Status)
@@ -165,14 +185,7 @@
 			})
 			other := testpeer.NewBatchBackend(t, counter, succeed)
 			c := newCluster()
-			_, first := serve(t, testpeer.Start(t, testpeer.Settings()),
-				&memberStore{cluster: c, member: 1, gate: newProcessGate()}, nil)
-			id := first.submit(inputLines(1), "1h").ID
-			storeSubmission(t, c, busy)
-			until := time.Now().Add(4 * time.Second)
-			line := fmt.Sprintf(`{"state":"out","until":%d,"tries":1,"trace":"feed"}`, until.UnixMilli())
-			_, err := c.Memory.Write(t.Context(), store.Op{Key: "line/" + id + "/000000", Data: []byte(line)})
-			require.NoError(t, err)
+			id := submitInFlight(t, c, busy, 1, time.Now().Add(4*time.Second)).ID
 			endpoints := []node.Endpoint{batchEndpoint("b", busy), batchEndpoint("b2", other)}
 			m := startMember(t, c, 1, 10*time.Second, endpoints...)
 			require.Never(t, func() bool { return len(cancelled) > 0 }, 200*time.Millisecond, 10*time.Millisecond)
@@ -186,3 +199,37 @@
 		})
 	}
 }
+
+// Guards against lines that are sent one at a time after the next leader has cancelled their late file, as if that said
+// something about the capacity of the servers: they fit in one file again, or in three if they are sent apart.
+func TestCancelledFileKeepsTheLimit(t *testing.T) {
+	t.Parallel()
+	const lines = 16
+	counter := testpeer.NewAttemptCounter()
+	var late atomic.Bool
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	server := testpeer.NewBatchBackend(t, counter, func(string, int) int {
+		if late.CompareAndSwap(false, true) {
+			<-released
+			return http.StatusTooManyRequests
+		}
+		return http.StatusOK
+	})
+	c := newCluster()
+	id := submitInFlight(t, c, server, lines, time.Now().Add(1500*time.Millisecond)).ID
+	var creations atomic.Int32
+	server.SetFault(func(r *http.Request) testpeer.CallFault {
+		if isCreation(r) {
+			creations.Add(1)
+		}
+		if r.URL.Path == "/v1/batches/batch_0/cancel" {
+			time.AfterFunc(100*time.Millisecond, release)
+		}
+		return testpeer.NoFault
+	})
+	edit := func(o *batch.Options) { o.MaxConcurrentLines = lines }
+	b := startMemberWith(t, c, 1, edit, batchEndpoint("b", server)).wait(id, 20*time.Second)
+	require.Equal(t, batch.RequestCounts{Total: lines, Completed: lines}, b.RequestCounts)
+	require.LessOrEqual(t, creations.Load(), int32(3))
+}
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -287,6 +287,13 @@
 	return leader.wait(id, 20*time.Second), leader.client, c
 }
 
+// requireTakenOver requires that each line has a response, and that no line had two attempts in flight.
+func requireTakenOver(t *testing.T, b batch.Batch, counter *testpeer.AttemptCounter) {
+	t.Helper()
+	require.Equal(t, batch.RequestCounts{Total: takeoverLines, Completed: takeoverLines}, b.RequestCounts)
+	require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
+}
+
 func allListed(endpoints []node.Endpoint) []node.Endpoint     { return endpoints }
 func firstUnlisted(endpoints []node.Endpoint) []node.Endpoint { return endpoints[1:] }
 func noFaults(*http.Request) testpeer.CallFault               { return testpeer.NoFault }
@@ -311,9 +318,7 @@
 						}))
 					}
 					b, _, c := takeover(t, takeoverLines, 3*time.Second, d, moment, servers, listed, noFaults)
-					counts := batch.RequestCounts{Total: takeoverLines, Completed: takeoverLines}
-					require.Equal(t, counts, b.RequestCounts)
-					require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
+					requireTakenOver(t, b, counter)
 					for line, attempts := range counter.Attempts() {
 						require.Equal(t, 1, attempts, line)
 					}
@@ -342,9 +347,7 @@
 			})
 			servers := []*testpeer.BatchBackend{server}
 			b, _, _ := takeover(t, takeoverLines, time.Second, d, moments["after"], servers, allListed, noFaults)
-			counts := batch.RequestCounts{Total: takeoverLines, Completed: takeoverLines}
-			require.Equal(t, counts, b.RequestCounts)
-			require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
+			requireTakenOver(t, b, counter)
 			executed, _ := server.Lines()
 			require.Equal(t, takeoverLines, executed, "a line that has run must not run again")
 		})
@@ -483,9 +486,7 @@
 				return testpeer.NoFault
 			}
 			b, _, _ := takeover(t, takeoverLines, 2*time.Second, d, moments["after"], all, allListed, gone)
-			counts := batch.RequestCounts{Total: takeoverLines, Completed: takeoverLines}
-			require.Equal(t, counts, b.RequestCounts)
-			require.Equal(t, 1, counter.MaximumInFlight(), "no line may have two attempts in flight")
+			requireTakenOver(t, b, counter)
 		})
 	}
 }
