Log each stream that goes over at an upgrade, at both processes, and why streams end early

Both sides name the stream by trace and server now: 'stream handover finished' with the time since the last event, 'stream taken over', 'adopted stream ended' and 'stream ended early' with the cause that ended it.

go test ./internal/backend passes.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -64,7 +64,12 @@
 		Options:        options,
 		backends:       map[string]backendHandle{},
 		recoveredFiles: map[*recoveredFile]bool{},
-		streams:        &runningStreams{connections: map[*connection]bool{}, memory: options.Memory, work: options.Work},
+		streams: &runningStreams{
+			connections: map[*connection]bool{},
+			memory:      options.Memory,
+			work:        options.Work,
+			log:         options.Log,
+		},
 	}
 	f.onOpen = f.countConnection
 	return f
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"standpoint"
 	"standpoint/internal/memory"
 	"standpoint/internal/node"
@@ -54,7 +56,12 @@
 		attempt:     attempt,
 		connection:  conn,
 	}
-	return stream.run()
+	result, err := stream.run()
+	if err != nil && stream.begun {
+		r.log.Info("stream ended early", append(stream.logFields(), zap.Stringer("code", result.Code),
+			zap.NamedError("cause", context.Cause(ctx)), zap.Error(err))...)
+	}
+	return result, err
 }
 
 // relay is a stream that is being relayed to its client.
--- a/internal/backend/running_streams.go
+++ b/internal/backend/running_streams.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"standpoint"
@@ -29,6 +30,7 @@
 type runningStreams struct {
 	memory *memory.Budget // bounds the buffers of the streams; nil sets no bound
 	work   *work.Limiter  // bounds the rate at which fast streams are processed; nil sets no bound
+	log    *zap.Logger
 
 	mu          sync.Mutex           // guards the rest
 	connections map[*connection]bool // connections of the streams to their backends
@@ -96,7 +98,9 @@
 		return &streamEnd{cancelled, err}
 	}
 	defer func() { _ = unix.Close(backendFD) }()
+	fields := r.logFields()
 	err = r.streams.handOverStream(r.streamState, r.attempt, backendFD, position)
+	r.streams.log.Info("stream handover finished", append(fields, zap.Bool("handed_over", err == nil), zap.Error(err))...)
 	switch {
 	case err == nil:
 		return &streamEnd{node.Result{Code: standpoint.Cancelled, Moved: true}, r.attempt.DetachClient()}
@@ -128,3 +132,15 @@
 	}
 	return nil
 }
+
+// logFields returns the fields that identify the stream and describe its progress in a log entry.
+func (r *relay) logFields() []zap.Field {
+	return []zap.Field{
+		zap.String("trace", r.attempt.Request.Work.TraceID),
+		zap.String("server", r.attempt.Backend),
+		zap.Duration("since_event", time.Since(r.lastReceived)),
+		zap.Duration("longest_pause", r.longestPause),
+		zap.Int("received_bytes", r.receivedBytes),
+		zap.Bool("client_resumes", r.attempt.ClientResumes),
+	}
+}
--- a/internal/backend/stream_handover.go
+++ b/internal/backend/stream_handover.go
@@ -107,14 +107,18 @@
 	conn := &connection{Conn: backendConn, idleLimit: &idleLimit{}, chunks: s.Chunks}
 	defer context.AfterFunc(ctx, func() { _ = backendConn.SetReadDeadline(time.Now()) })()
 	body := &remainder{connection: conn, chunks: s.Chunks}
+	f.Log.Info("stream taken over",
+		zap.String("trace", s.Trace),
+		zap.String("server", s.Backend),
+		zap.Int("received_bytes", s.ReceivedBytes),
+		zap.Duration("client_stall", s.ClientStall))
 	result, err := f.streams.relay(ctx, cancel, body, s.state(), attempt, conn)
-	if err != nil {
-		f.Log.Info("adopted stream ended",
-			zap.String("server", s.Backend),
-			zap.String("trace", s.Trace),
-			zap.Bool("moved", result.Moved),
-			zap.Error(err))
-	}
+	f.Log.Info("adopted stream ended",
+		zap.String("trace", s.Trace),
+		zap.String("server", s.Backend),
+		zap.Stringer("code", result.Code),
+		zap.Bool("moved", result.Moved),
+		zap.Error(err))
 	attempt.Finish(result)
 }
 
