--- a/internal/testpeer/crowd/process.go
+++ b/internal/testpeer/crowd/process.go
@@ -72,10 +72,22 @@
 // Start starts a program as the platform does, with the path of its configuration and a directory of its own. The
 // process is killed when the test ends.
 func Start(t testing.TB, program, configFile, directory string, limits Limits) *Process {
+	t.Helper()
+	return StartInheriting(t, program, configFile, directory, limits, nil)
+}
+
+// StartInheriting is like Start. The process inherits the clients' listening socket, unless that is nil.
+func StartInheriting(
+	t testing.TB, program, configFile, directory string, limits Limits, listener *os.File,
+) *Process {
 	t.Helper()
 	p := &Process{Limits: limits, ended: make(chan struct{})}
 	p.Cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; trap '' HUP; exec %s", limits.Sockets, program))
 	p.Env = append(os.Environ(), "PROXY_CONFIG="+configFile, "TMPDIR="+directory)
+	if listener != nil {
+		p.ExtraFiles = []*os.File{listener}
+		p.Env = append(p.Env, "PROXY_SOCKET_FD=3")
+	}
 	p.Stderr = &p.Log
 	require.NoError(t, p.Cmd.Start())
 	go func() {
