The wait for the next event goes on where a stream goes over, in place of beginning anew

Cause: a stream was passed with its position, and without its clock. The process that took it over began its 4.5 s anew, did not know that the client asks for the rest (then 1 to 3 s), the longest pause, the number of events, the most tokens, or when the attempt was sent (a stream of over 64 KiB counted as one that comes too fast). Evidence: 'stream ended early ... client disconnected' with since_event 2.99 s at the process that took it over, and 5.00 s at the client.

The stream carries these now, its times as stamps of the machine's monotonic clock. For a stream of an earlier version the last event is the last byte that the kernel received, and the settings tell whether the client asks for the rest; earlier versions pass over the new keys.

--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -88,10 +88,10 @@
 
 // run relays the stream to its end.
 func (r *relay) run() (node.Result, error) {
-	r.lastReceived = time.Now()
 	if r.begun {
 		r.streamBegun()
 	} else {
+		r.eventReceived()
 		r.silenceTimer = time.AfterFunc(firstEventTimeout, func() { r.cancel(errNoFirstEvent) })
 	}
 	defer func() {
@@ -123,12 +123,17 @@
 // streamBegun is called once the first event was received, in this process or in the one that handed the stream over.
 func (r *relay) streamBegun() {
 	r.begun = true
-	r.silenceTimer = time.AfterFunc(r.silenceTimeout(r.attempt.ClientResumes), func() { r.cancel(errStreamSilent) })
+	r.silenceTimer = time.AfterFunc(r.untilSilent(), func() { r.cancel(errStreamSilent) })
 	if r.connection != nil {
 		r.streams.add(r.connection)
 	}
 }
 
+// untilSilent returns the time until the stream is broken off unless more of it is received.
+func (r *relay) untilSilent() time.Duration {
+	return time.Until(r.silenceDeadline(r.attempt.ClientResumes))
+}
+
 // read reads further bytes into the buffer, and returns how many bytes of the buffer are complete events.
 func (r *relay) read() (complete int, err error) {
 	if len(r.buffer) == cap(r.buffer) && !r.growBuffer() {
@@ -152,7 +157,7 @@
 // not count.
 func (r *relay) eventInProgress() {
 	r.lastReceived = time.Now()
-	r.silenceTimer.Reset(r.silenceTimeout(false))
+	r.silenceTimer.Reset(r.untilSilent())
 }
 
 // awaitTurn waits until bytes of a stream may be processed that come faster than a model writes.
@@ -181,7 +186,7 @@
 		return &streamEnd{node.Result{Code: standpoint.ServerError}, err}
 	}
 	if r.summary.events > eventsBefore {
-		r.lastReceived = time.Now()
+		r.eventReceived()
 	}
 	if r.begun && !r.lastForwarded.IsZero() {
 		r.longestPause = max(r.longestPause, time.Since(r.lastForwarded))
@@ -212,11 +217,9 @@
 	r.silenceTimer.Stop()
 	started := time.Now()
 	err := r.attempt.Forward(r.buffer[:complete])
-	if wait := time.Since(started); wait > node.MinClientStall {
-		r.clientStall += wait
-	}
 	r.lastForwarded = time.Now()
-	r.silenceTimer.Reset(r.silenceTimeout(r.attempt.ClientResumes) - started.Sub(r.lastReceived))
+	r.clientStalled(r.lastForwarded.Sub(started))
+	r.silenceTimer.Reset(r.untilSilent())
 	return err
 }
 
--- a/internal/backend/running_streams.go
+++ b/internal/backend/running_streams.go
@@ -138,7 +138,7 @@
 	return []zap.Field{
 		zap.String("trace", r.attempt.Request.Work.TraceID),
 		zap.String("server", r.attempt.Backend),
-		zap.Duration("since_event", time.Since(r.lastReceived)),
+		zap.Duration("since_event", time.Since(r.lastEvent)),
 		zap.Duration("longest_pause", r.longestPause),
 		zap.Int("received_bytes", r.receivedBytes),
 		zap.Bool("client_resumes", r.attempt.ClientResumes),
--- a/internal/backend/socket.go
+++ b/internal/backend/socket.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -45,6 +46,17 @@
 	return n == 0 && err == nil
 }
 
+// lastDataReceived returns when the kernel last received data of a connection. It returns now if that is unknown.
+func lastDataReceived(c net.Conn, now time.Time) time.Time {
+	var info *unix.TCPInfo
+	var failed error
+	err := control(c, func(fd int) { info, failed = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || failed != nil {
+		return now
+	}
+	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+}
+
 // control calls f with the descriptor of a connection.
 func control(c net.Conn, f func(fd int)) error {
 	socket, ok := c.(syscall.Conn)
--- a/internal/backend/stream_handover.go
+++ b/internal/backend/stream_handover.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"standpoint"
+	"standpoint/internal/clock"
 	"standpoint/internal/node"
 )
 
@@ -42,6 +43,23 @@
 	ClientStall time.Duration `json:"held"`
 	// Chunks is the position in the response.
 	Chunks chunkParser `json:"chunks"`
+
+	// The fields below are zero if the process that hands the stream over is of a version that does not know them.
+
+	// Sent is when the attempt was sent.
+	Sent clock.Stamp `json:"sent,omitzero"`
+	// LastEvent is when the last event with data was received, and LastReceived when an event or a part of one was. Both
+	// are later by the time for which the client has stalled the stream since.
+	LastEvent    clock.Stamp `json:"last_event,omitzero"`
+	LastReceived clock.Stamp `json:"last_received,omitzero"`
+	// LongestPause is the longest pause of the backend between two events.
+	LongestPause time.Duration `json:"longest_pause,omitempty"`
+	// Events is the number of events with data.
+	Events int `json:"events,omitempty"`
+	// MaxTokens is the number of output tokens that the request allows.
+	MaxTokens float64 `json:"max_tokens,omitempty"`
+	// ClientResumes reports whether the client requests the rest of an interrupted stream.
+	ClientResumes *bool `json:"client_resumes,omitempty"`
 }
 
 // newStream returns the state of a stream to hand over.
@@ -59,9 +77,37 @@
 		Done:          state.summary.done,
 		ClientStall:   state.clientStall,
 		Chunks:        position,
+		Sent:          stampOf(attempt.Sent),
+		LastEvent:     stampOf(state.lastEvent),
+		LastReceived:  stampOf(state.lastReceived),
+		LongestPause:  state.longestPause,
+		Events:        state.summary.events,
+		MaxTokens:     attempt.Request.Work.MaxTokens,
+		ClientResumes: &attempt.ClientResumes,
 	}
 }
 
+// stampOf returns the stamp of a time of this process.
+func stampOf(t time.Time) clock.Stamp { return clock.StampOf(clock.Of(t)) }
+
+// timeOf returns the time of a stamp, which is not later than now. It returns false if the stamp is unknown.
+func timeOf(stamp clock.Stamp, now time.Time) (time.Time, bool) {
+	instant, ok := stamp.Instant()
+	if !ok {
+		return time.Time{}, false
+	}
+	if at := clock.Time(instant); at.Before(now) {
+		return at, true
+	}
+	return now, true
+}
+
+// Begun returns what is known of the stream besides its position.
+func (s *Stream) Begun() node.BegunStream {
+	sent, _ := timeOf(s.Sent, time.Now()) // the zero time if it is unknown
+	return node.BegunStream{Backend: s.Backend, Sent: sent, ClientResumes: s.ClientResumes}
+}
+
 // DecodeStream decodes and validates a stream that another process hands over.
 func DecodeStream(raw []byte) (Stream, error) {
 	var s Stream
@@ -79,21 +125,38 @@
 	return s.Trace != "" &&
 		len(s.Partial) <= maxEventBytes &&
 		s.ReceivedBytes >= 0 && s.ReceivedBytes <= maxStreamBytes &&
-		s.ClientStall >= 0
+		s.ClientStall >= 0 &&
+		s.LongestPause >= 0 &&
+		s.Events >= 0 &&
+		s.MaxTokens >= 0
 }
 
-// state returns the relay state from which the stream continues.
-func (s *Stream) state() *streamState {
+// state returns the relay state from which the stream continues. A process of an earlier version does not tell when it
+// received the last event. The time for which the client has waited is then that since the last byte of the backend.
+func (s *Stream) state(backendConn net.Conn) *streamState {
+	now := time.Now()
+	lastEvent, known := timeOf(s.LastEvent, now)
+	if !known {
+		lastEvent = lastDataReceived(backendConn, now)
+	}
+	lastReceived, known := timeOf(s.LastReceived, now)
+	if !known {
+		lastReceived = lastEvent
+	}
 	return &streamState{
 		begun:         true,
 		buffer:        append(make([]byte, 0, readSize), s.Partial...),
 		receivedBytes: s.ReceivedBytes,
 		clientStall:   s.ClientStall,
+		lastEvent:     lastEvent,
+		lastReceived:  lastReceived,
+		longestPause:  s.LongestPause,
 		summary: responseSummary{
 			cachedTokens: s.CachedTokens,
 			outputTokens: s.OutputTokens,
 			report:       s.Report,
 			done:         s.Done,
+			events:       s.Events,
 		},
 	}
 }
@@ -107,12 +170,14 @@
 	conn := &connection{Conn: backendConn, idleLimit: &idleLimit{}, chunks: s.Chunks}
 	defer context.AfterFunc(ctx, func() { _ = backendConn.SetReadDeadline(time.Now()) })()
 	body := &remainder{connection: conn, chunks: s.Chunks}
+	state := s.state(backendConn)
 	f.Log.Info("stream taken over",
 		zap.String("trace", s.Trace),
 		zap.String("server", s.Backend),
+		zap.Duration("since_event", time.Since(state.lastEvent)),
 		zap.Int("received_bytes", s.ReceivedBytes),
 		zap.Duration("client_stall", s.ClientStall))
-	result, err := f.streams.relay(ctx, cancel, body, s.state(), attempt, conn)
+	result, err := f.streams.relay(ctx, cancel, body, state, attempt, conn)
 	f.Log.Info("adopted stream ended",
 		zap.String("trace", s.Trace),
 		zap.String("server", s.Backend),
--- a/internal/backend/stream_state.go
+++ b/internal/backend/stream_state.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"standpoint/internal/node"
+)
 
 const (
 	// firstEventTimeout is the maximum time from the head of a response to its first event; they usually arrive
@@ -43,17 +47,39 @@
 	receivedBytes int             // total bytes received
 	clientStall   time.Duration   // total time that the client delayed the stream by reading slowly
 	lastForwarded time.Time       // when events were last forwarded
-	lastReceived  time.Time       // when an event with data was last received
 	longestPause  time.Duration   // longest pause of the backend between two events; 0 if unknown
+	// lastEvent is when an event with data was last received, and lastReceived when one or a part of one was. Both are
+	// later by the time for which the client has stalled the stream since.
+	lastEvent, lastReceived time.Time
 }
 
-// silenceTimeout returns the time without an event after which the stream is broken off. If the client can request the
-// rest from another backend, the time follows the stream's own pace: waiting longer costs the client time, and with one
-// timeout for all, the streams of a lost zone would all be requested anew at once.
-func (s *streamState) silenceTimeout(resumable bool) time.Duration {
-	if !resumable {
-		return maxSilence
+// eventReceived records that an event with data was received.
+func (s *streamState) eventReceived() {
+	s.lastEvent = time.Now()
+	s.lastReceived = s.lastEvent
+}
+
+// clientStalled records for how long the client has delayed the stream, during which its backend is not silent.
+func (s *streamState) clientStalled(duration time.Duration) {
+	s.lastEvent = s.lastEvent.Add(duration)
+	s.lastReceived = s.lastReceived.Add(duration)
+	if duration > node.MinClientStall {
+		s.clientStall += duration
 	}
+}
+
+// silenceDeadline returns when the stream is broken off unless more of it is received.
+func (s *streamState) silenceDeadline(resumable bool) time.Time {
+	if resumable {
+		return s.lastEvent.Add(s.resumableSilence())
+	}
+	return s.lastReceived.Add(maxSilence)
+}
+
+// resumableSilence returns the time without an event after which a stream is broken off whose client can request the
+// rest from another backend. The time follows the stream's own pace: waiting longer costs the client time, and with one
+// timeout for all, the streams of a lost zone would all be requested anew at once.
+func (s *streamState) resumableSilence() time.Duration {
 	if s.longestPause == 0 {
 		return maxResumableSilence
 	}
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -78,6 +78,8 @@
 		Class:       transfer.Class,
 		Tenant:      transfer.Tenant,
 		ClientStall: stream.ClientStall,
+		MaxTokens:   stream.MaxTokens,
+		Begun:       stream.Begun(),
 	}
 	resume := func(attempt *node.Attempt) { a.backends.ContinueStream(stream, backendConn, attempt) }
 	return func() {
--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -21,6 +21,10 @@
 	Tenant string
 	// ClientStall is the total time for which the client has stalled the response so far.
 	ClientStall time.Duration
+	// MaxTokens is the number of output tokens that the request allows; 0 if it is unknown.
+	MaxTokens float64
+	// Begun is what is known of the backend's stream.
+	Begun node.BegunStream
 }
 
 // Adopt continues a response that another process of this node has begun, until its end. run carries the attempt, as
@@ -43,7 +47,8 @@
 		cancel()
 	}()
 	stream := &adoptedStream{client, writeAllowance{response.ClientStall}}
-	answer := f.Core.Adopt(ctx, node.NewRequest(spec, node.Work{TraceID: response.TraceID}, stream), run)
+	work := node.Work{TraceID: response.TraceID, MaxTokens: response.MaxTokens}
+	answer := f.Core.Adopt(ctx, node.NewRequest(spec, work, stream), response.Begun, run)
 	if answer.Kind == node.Served {
 		_ = client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
 		_, _ = io.WriteString(client, "0\r\n\r\n") // the last chunk; fails only if the client has disconnected
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,8 +46,10 @@
 type Core struct {
 	Options
 	limiter *TenantLimiter
-	stopped chan struct{}
-	mailbox chan message
+	// clientsResume is Settings.Resume, for other goroutines than that of Run.
+	clientsResume atomic.Bool
+	stopped       chan struct{}
+	mailbox       chan message
 	// endpointUpdates is read before the mailbox, so that the removal of a backend does not wait behind other messages.
 	endpointUpdates chan EndpointList
 
@@ -64,7 +67,7 @@
 
 // New creates a Core, which Run starts.
 func New(options Options) *Core {
-	return &Core{
+	c := &Core{
 		Options:         options,
 		limiter:         NewTenantLimiter(options.MaxRequests, len(options.Settings.Tenants)),
 		stopped:         make(chan struct{}),
@@ -73,6 +76,8 @@
 		router:          standpoint.New(options.Settings, options.Seed),
 		requests:        map[int64]*Request{},
 	}
+	c.clientsResume.Store(options.Settings.Resume)
+	return c
 }
 
 // now returns the decision module's time, in nanoseconds. Steps of the wall clock do not affect it.
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -172,7 +172,7 @@
 	core, _ := startCore(t.Context(), 1, 10)
 	core.Settings.Resume = true
 	core.HandBack(true)
-	answer := core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), func(a *Attempt) {
+	answer := core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), BegunStream{}, func(a *Attempt) {
 		<-a.Context().Done()
 		a.Finish(Result{Code: standpoint.Cancelled})
 	})
@@ -189,7 +189,7 @@
 	answers := make(chan Answer, adopted)
 	for range adopted {
 		go func() {
-			answers <- core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), func(a *Attempt) {
+			answers <- core.Adopt(t.Context(), newTestRequest(core, 0, time.Minute), BegunStream{}, func(a *Attempt) {
 				<-release
 				a.Finish(Result{Code: standpoint.Served})
 			})
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -134,6 +134,7 @@
 	switch m := m.(type) {
 	case updateSettings:
 		c.Settings = m.settings
+		c.clientsResume.Store(m.settings.Resume)
 		c.router.UpdateSettings(m.settings)
 	case updateAdvice:
 		c.decide(m.advice)
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -13,7 +13,7 @@
 func (c *Core) Recover(ctx context.Context, request *Request, number int, run func(*Attempt)) Answer {
 	c.limiter.AcquireAdmitted(request.Spec.Tenant, 1)
 	defer c.limiter.Release(request.Spec.Tenant, 1)
-	attempt := c.adoptedAttempt(request)
+	attempt := c.adoptedAttempt(request, BegunStream{})
 	attempt.Number = number
 	request.recovered = true
 	c.post(adoptRequest{request})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -25,13 +25,22 @@
 	return answer, err
 }
 
+// BegunStream is what is known of a stream that another process of this node has begun.
+type BegunStream struct {
+	Backend string    // the name of the backend
+	Sent    time.Time // when the attempt was sent; zero if that is unknown
+	// ClientResumes reports whether the client requests the rest of an interrupted stream. If it is nil, the settings of
+	// this process apply.
+	ClientResumes *bool
+}
+
 // Adopt serves a request whose answer another process of this node has begun, and returns its final answer. run carries
 // the attempt, which has already claimed the request; the decision module has no part in it. The other process has
 // admitted the request, so that it counts against the limits here but is never rejected.
-func (c *Core) Adopt(ctx context.Context, request *Request, run func(*Attempt)) Answer {
+func (c *Core) Adopt(ctx context.Context, request *Request, begun BegunStream, run func(*Attempt)) Answer {
 	c.limiter.AcquireAdmitted(request.Spec.Tenant, 1)
 	defer c.limiter.Release(request.Spec.Tenant, 1)
-	attempt := c.adoptedAttempt(request)
+	attempt := c.adoptedAttempt(request, begun)
 	request.claimed = attempt
 	c.post(adoptRequest{request})
 	go run(attempt) // settles the request as it ends, which is awaited below
@@ -47,14 +56,22 @@
 }
 
 // adoptedAttempt returns the attempt of a request that another process has sent.
-func (c *Core) adoptedAttempt(request *Request) *Attempt {
+func (c *Core) adoptedAttempt(request *Request, begun BegunStream) *Attempt {
 	attempt := &Attempt{
 		Request:       request,
-		Sent:          time.Now(),
+		Backend:       begun.Backend,
+		Sent:          begun.Sent,
+		ClientResumes: c.clientsResume.Load(),
 		post:          c.post,
 		inFlight:      true,
 		deadlineTimer: time.NewTimer(0),
 	}
+	if begun.Sent.IsZero() {
+		attempt.Sent = time.Now()
+	}
+	if begun.ClientResumes != nil {
+		attempt.ClientResumes = *begun.ClientResumes
+	}
 	attempt.ctx, attempt.cancelContext = context.WithCancelCause(context.Background())
 	request.attempts = []*Attempt{attempt}
 	return attempt
--- a/internal/overload/upgrade_test.go
+++ b/internal/overload/upgrade_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"standpoint/internal/testpeer"
+	"standpoint/internal/testpeer/release"
 	"standpoint/internal/testpeer/upgrade"
 )
 
@@ -36,16 +37,21 @@
 	results []upgrade.Result
 }
 
-// newUpgradeScene starts a node whose clients ask for the rest of a broken stream if resume is set.
+// newUpgradeScene prepares a node whose clients ask for the rest of a broken stream if resume is set.
 func newUpgradeScene(t *testing.T, resume bool) *upgradeScene {
 	t.Helper()
 	s := &upgradeScene{t: t, program: testpeer.Build(t), server: upgrade.NewServer(t)}
 	settings := map[string]any{"familyInfo": map[string]any{"resume": resume}}
 	s.node = upgrade.NewNode(t, settings, s.server.Address)
-	s.process = s.node.Start(s.program)
 	return s
 }
 
+// start starts the first process of the node.
+func (s *upgradeScene) start(program string) {
+	s.t.Helper()
+	s.process = s.node.Start(program)
+}
+
 // begin sends requests whose streams are under way when it returns.
 func (s *upgradeScene) begin(answer upgrade.Answer) {
 	s.t.Helper()
@@ -126,6 +132,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newUpgradeScene(t, scene.resume)
+			s.start(s.program)
 			s.begin(longAnswer)
 			for range scene.before {
 				s.upgrade()
@@ -151,6 +158,7 @@
 func TestStreamsGoOverToAProcessThatIsHeldUp(t *testing.T) {
 	t.Parallel()
 	s := newUpgradeScene(t, false)
+	s.start(s.program)
 	s.begin(upgrade.Answer{Events: 120, Pause: 50 * time.Millisecond})
 	s.upgrade()
 	time.Sleep(1900 * time.Millisecond)
@@ -167,6 +175,7 @@
 func TestStreamsEndBeforeTheirProcess(t *testing.T) {
 	t.Parallel()
 	s := newUpgradeScene(t, false)
+	s.start(s.program)
 	s.begin(longAnswer)
 	old := s.upgrade()
 	stopped := time.Now()
@@ -178,3 +187,35 @@
 		require.Less(t, result.Ended.Sub(stopped), upgrade.EarliestKill+patienceSlack, result)
 	}
 }
+
+// TestSilentStreamsFromEarlierVersion guards against clients that are left waiting after an upgrade from a version that
+// does not tell when it received the last event, and against streams that are cut off by it or by the way back.
+func TestSilentStreamsFromEarlierVersion(t *testing.T) {
+	t.Parallel()
+	earlier := release.ProgramAt(t, release.WithoutTimes)
+	t.Run("upgrade", func(t *testing.T) {
+		t.Parallel()
+		s := newUpgradeScene(t, false)
+		s.start(earlier)
+		s.begin(longAnswer)
+		next := s.node.Start(s.program)
+		s.server.SetHang(upgrade.BetweenEvents)
+		s.replaceBy(next)
+		s.requireNobodyWaits()
+	})
+	for name, resume := range map[string]bool{"upgrade and back": false, "upgrade and back, clients resume": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newUpgradeScene(t, resume)
+			s.start(earlier)
+			s.begin(upgrade.Answer{Events: 200, Pause: 50 * time.Millisecond})
+			s.upgrade()
+			time.Sleep(upgrade.EarliestKill)
+			s.replaceBy(s.node.Start(earlier))
+			s.requireNobodyWaits()
+			for _, result := range s.results {
+				require.True(t, result.Whole, result)
+			}
+		})
+	}
+}
--- a/internal/testpeer/release/release.go
+++ b/internal/testpeer/release/release.go
@@ -10,16 +10,27 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Commit is the commit from which the earlier version is built.
-const Commit = "9cb399972a5c60b9fc543e6b5aa7a4a5bb4d0b3d"
+// Commits from which earlier versions are built.
+const (
+	// Commit passes streams in one phase, and without the tenant.
+	Commit = "9cb399972a5c60b9fc543e6b5aa7a4a5bb4d0b3d"
+	// WithoutTimes passes streams in two phases, and without the time of the last event.
+	WithoutTimes = "e9788744ae40e1e33e2cfcf1a63d1ea69f505daa"
+)
 
-// Program builds the program at Commit from the repository's history and returns the path of the executable. It skips
-// the test in a clone whose history lacks Commit.
+// Program builds the program at Commit. See ProgramAt.
 func Program(t testing.TB) string {
+	t.Helper()
+	return ProgramAt(t, Commit)
+}
+
+// ProgramAt builds the program at a commit of the repository's history and returns the path of the executable. It skips
+// the test in a clone whose history lacks the commit.
+func ProgramAt(t testing.TB, commit string) string {
 	t.Helper()
 	root := runCommand(t, "", "git", "rev-parse", "--show-toplevel")
-	if err := newCommand(root, "git", "cat-file", "-e", Commit).Run(); err != nil {
-		t.Skipf("the history of this clone does not contain commit %s", Commit)
+	if err := newCommand(root, "git", "cat-file", "-e", commit).Run(); err != nil {
+		t.Skipf("the history of this clone does not contain commit %s", commit)
 	}
 	dir := t.TempDir()
 	archive := filepath.Join(dir, "source.tar")
@@ -30,7 +41,7 @@
 		"archive",
 		"--format=tar",
 		"--output="+archive,
-		Commit,
+		commit,
 		"--",
 		"go.mod",
 		"go.sum",
