A stop does not wait for the next connection of a client

What callers would see: at an upgrade all that the old process has is cut off at the kill, if no client connects after SIGTERM.

Cause: the start of a process that inherits the clients' socket makes that socket a blocking one for a moment, for every process that has it (os.File.Fd, as os/exec uses it). An accept of the serving process that falls into this moment blocks in the kernel, and the close of the listener waits for it. Found by reading for waits without an owner; seen in /proc (accept4, inet_csk_accept) after a start with clients that connect.

The tracker's Close waits 50 ms at most. TestStopWithoutFurtherConnections: 12 of 12 whole answers cut off on the code before, passes now. go test ./internal/edge passes.

--- a/internal/edge/connection_tracker.go
+++ b/internal/edge/connection_tracker.go
@@ -26,6 +26,8 @@
 	minimumHeadTime = 500 * time.Millisecond
 	// capacityInterval is the time between two attempts to free capacity while the limit is reached.
 	capacityInterval = 20 * time.Millisecond
+	// closeTimeout bounds the wait for the listener to close.
+	closeTimeout = 50 * time.Millisecond
 	// limitWarningInterval is the minimum time between two log lines about the limit.
 	limitWarningInterval = time.Second
 	// connectionMemory is the memory of a connection without a request, in bytes: its buffers, and the stack of the
@@ -133,10 +135,19 @@
 	}
 }
 
-// Close implements net.Listener: it stops accepting. Open connections remain.
+// Close implements net.Listener: it stops accepting. Open connections remain. It does not wait for an accept that blocks
+// in the kernel until the next client connects, as it may on a socket that other processes have too: each of them can
+// make it a blocking one.
 func (t *ConnectionTracker) Close() error {
 	t.closeOnce.Do(func() { close(t.closed) })
-	return t.Listener.Close()
+	closed := make(chan error, 1)
+	go func() { closed <- t.Listener.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(closeTimeout):
+		return nil
+	}
 }
 
 func (t *ConnectionTracker) isClosed() bool {
--- a/internal/overload/upgrade_test.go
+++ b/internal/overload/upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"syscall"
 	"testing"
@@ -219,3 +220,23 @@
 		})
 	}
 }
+
+// TestStopWithoutFurtherConnections guards against a stop that waits for the next connection of a client: while another
+// process is started, the platform makes the socket that both listen on a blocking one.
+func TestStopWithoutFurtherConnections(t *testing.T) {
+	t.Parallel()
+	s := newUpgradeScene(t, false)
+	s.start(s.program)
+	s.begin(upgrade.Answer{Events: 160, Pause: 50 * time.Millisecond})
+	s.node.BlockListener()
+	conn, err := net.Dial("tcp", s.node.Address) // the process accepts it, and waits in its next accept
+	require.NoError(t, err)
+	conn.Close()
+	time.Sleep(100 * time.Millisecond)
+	old := s.upgrade()
+	s.requireNobodyWaits()
+	for _, result := range s.results {
+		require.True(t, result.Whole, result)
+	}
+	require.NotEmpty(t, old.LogLines("streams passed to sibling process"))
+}
--- a/internal/testpeer/upgrade/node.go
+++ b/internal/testpeer/upgrade/node.go
@@ -82,6 +82,16 @@
 	return fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
 }
 
+// BlockListener makes the clients' listening socket a blocking one for all processes that have it, as the start of a
+// process does that inherits it. A process that starts makes it a non-blocking one again.
+func (n *Node) BlockListener() {
+	n.t.Helper()
+	socket, err := n.listener.File()
+	require.NoError(n.t, err)
+	_ = socket.Fd() // os.File.Fd has this effect
+	require.NoError(n.t, socket.Close())
+}
+
 // Start starts a process of the node and waits until it is ready.
 func (n *Node) Start(program string) *Process {
 	n.t.Helper()
