Streams are offered again until the old process ends, and end for their clients before it does

Cause: each stream was offered once, for 0.3 s, 2.0 s after SIGTERM. A stream that stayed could not be passed any more. Descriptors that the new process had not read kept the connections open after their close: close() ends a connection only with its last descriptor.

The old process asks first whether the sibling responds (a connection without a message, which every version closes), and passes only then, every 100 ms until its end; a stream that goes on here is passed next time. One that is broken off as silent within 0.3 s is not passed. If another process may have descriptors of a connection that ends here, its socket is shut down, which does not depend on them; such streams end 0.25 s before the kill. An accept that fails no longer ends the receiver.

--- a/internal/backend/failed_handover_test.go
+++ b/internal/backend/failed_handover_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"standpoint/internal/backend"
 	"standpoint/internal/testpeer"
@@ -115,3 +116,77 @@
 		})
 	}
 }
+
+// Guards against a stream that is offered to the other process only once: after a refusal it goes on here, and is taken
+// over at the next attempt, from where it stands then.
+func TestRefusedStreamIsHandedOverLater(t *testing.T) {
+	t.Parallel()
+	h := newHandOverTest(t)
+	t.Cleanup(func() { close(h.release) })
+	response, err := http.DefaultClient.Do(h.node.Chat(t.Context(), nil))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	for range 2 {
+		calls := h.refuse(errors.New("refused"))
+		require.Eventually(t, func() bool { return calls.Load() == 1 }, 5*time.Second, time.Millisecond)
+		time.Sleep(20 * time.Millisecond) // until the stream goes on
+	}
+	handedOver := make(chan backend.Stream, 1)
+	require.Equal(t, 1, h.node.Backends.HandOver(func(stream backend.Stream, _, _ int) error {
+		handedOver <- stream
+		return nil
+	}))
+	require.Positive(t, (<-handedOver).ReceivedBytes)
+}
+
+// Guards against a client and a backend that wait for the end of a stream which this process has ended, because another
+// process has got descriptors of their connections without having taken the stream over.
+func TestEndOfAStreamWithDescriptorsElsewhere(t *testing.T) {
+	t.Parallel()
+	backendLeft := make(chan struct{})
+	address := testpeer.StartBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		testpeer.WriteEvent(w, "begun")
+		<-r.Context().Done()
+		close(backendLeft)
+	})
+	n := testpeer.Start(t, testpeer.Settings(), testpeer.Endpoint("s", address))
+	response, err := http.DefaultClient.Do(n.Chat(t.Context(), nil))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	refused := make(chan struct{})
+	n.Backends.HandOver(func(_ backend.Stream, clientFD, backendFD int) error {
+		defer close(refused)
+		for _, fd := range []int{clientFD, backendFD} {
+			copied, err := unix.Dup(fd)
+			if err != nil {
+				return err
+			}
+			t.Cleanup(func() { _ = unix.Close(copied) })
+		}
+		return errors.New("refused")
+	})
+	<-refused
+	time.Sleep(20 * time.Millisecond) // until the stream goes on
+	n.Backends.BreakUnpassed()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := io.ReadAll(response.Body)
+		ended <- err
+	}()
+	for name, end := range map[string]func() bool{
+		"client":  func() bool { return len(ended) == 1 },
+		"backend": func() bool { return isClosed(backendLeft) },
+	} {
+		require.Eventually(t, end, 2*time.Second, time.Millisecond, name)
+	}
+	require.Error(t, <-ended, "the stream is not whole")
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -65,7 +65,7 @@
 		backends:       map[string]backendHandle{},
 		recoveredFiles: map[*recoveredFile]bool{},
 		streams: &runningStreams{
-			connections: map[*connection]bool{},
+			connections: map[*connection]*relay{},
 			memory:      options.Memory,
 			work:        options.Work,
 			log:         options.Log,
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +41,6 @@
 	state *streamState, attempt *node.Attempt, conn *connection,
 ) (node.Result, error) {
 	if conn != nil {
-		defer r.remove(conn)
-		defer conn.closeDuplicate()
 		attempt.OnHandBack(conn.endForHandBack)
 	}
 	holder := r.memory.Open(0, nil) // the initial buffer counts as a part of the request
@@ -77,7 +76,10 @@
 	// silenceTimer breaks a silent stream off. The connection to a machine that has disappeared stays open, and the
 	// client must not wait for it.
 	silenceTimer *time.Timer
-	onEnd        func() // called when the stream has ended; nil unless it goes on here after a failed handover
+	closeOwn     func() // closes the connection; nil unless the stream goes on here after a failed handover
+	// shared reports whether another process may have got descriptors of the stream's connections without having taken it
+	// over.
+	shared atomic.Bool
 }
 
 // streamEnd is how a stream ended.
@@ -96,9 +98,7 @@
 	}
 	defer func() {
 		r.silenceTimer.Stop()
-		if r.onEnd != nil {
-			r.onEnd()
-		}
+		r.endConnection()
 	}()
 	for {
 		complete, err := r.read()
@@ -125,7 +125,7 @@
 	r.begun = true
 	r.silenceTimer = time.AfterFunc(r.untilSilent(), func() { r.cancel(errStreamSilent) })
 	if r.connection != nil {
-		r.streams.add(r.connection)
+		r.streams.add(r)
 	}
 }
 
--- a/internal/backend/running_streams.go
+++ b/internal/backend/running_streams.go
@@ -23,6 +23,9 @@
 // ErrHandOverUncertain is returned by a HandOverFunc if the other process may have taken over the stream.
 var ErrHandOverUncertain = errors.New("other process may have taken over the stream")
 
+// errUnpassed is the reason for which a stream is broken off that could not be passed to another process.
+var errUnpassed = errors.New("stream could not be passed to another process before this one ends")
+
 // errPositionUnknown is returned for a stream whose position in the response is unknown.
 var errPositionUnknown = errors.New("hand over stream: position in the response is unknown")
 
@@ -32,21 +35,28 @@
 	work   *work.Limiter  // bounds the rate at which fast streams are processed; nil sets no bound
 	log    *zap.Logger
 
-	mu          sync.Mutex           // guards the rest
-	connections map[*connection]bool // connections of the streams to their backends
-	handOver    HandOverFunc         // set by Fleet.HandOver; nil before
+	mu          sync.Mutex             // guards the rest
+	connections map[*connection]*relay // streams that can be handed over, by their connections to backends
+	handOver    HandOverFunc           // set by Fleet.HandOver; nil before
 }
 
-// add adds the connection of a stream that has begun. A stream that begins after Fleet.HandOver is handed over too.
-func (r *runningStreams) add(c *connection) {
+// add adds a stream that has begun. A stream that begins after Fleet.HandOver is handed over too.
+func (r *runningStreams) add(stream *relay) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.connections[c] = true
+	r.connections[stream.connection] = stream
 	if r.handOver != nil {
-		c.freeze()
+		stream.connection.freeze()
 	}
 }
 
+// addAgain adds a stream that could not be handed over. The next call of Fleet.HandOver hands it over.
+func (r *runningStreams) addAgain(stream *relay) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.connections[stream.connection] = stream
+}
+
 // remove removes the connection of a stream that has ended.
 func (r *runningStreams) remove(c *connection) {
 	r.mu.Lock()
@@ -54,8 +64,9 @@
 	delete(r.connections, c)
 }
 
-// HandOver hands over all streams that have begun, and those that begin later, as far as they can be handed over. It
-// returns the number of streams whose handover it has started.
+// HandOver hands over all streams that have begun, and those that begin later, as far as they can be handed over. A
+// further call hands over those that could not be handed over before. It returns the number of streams whose handover it
+// has started.
 func (f *Fleet) HandOver(handOver HandOverFunc) int {
 	f.streams.mu.Lock()
 	defer f.streams.mu.Unlock()
@@ -69,22 +80,48 @@
 	return frozen
 }
 
+// BreakUnpassed breaks off the streams that another process has not taken over although it may have got descriptors of
+// their connections: they would stay open beyond the end of this process.
+func (f *Fleet) BreakUnpassed() {
+	f.streams.mu.Lock()
+	defer f.streams.mu.Unlock()
+	for _, stream := range f.streams.connections {
+		if stream.shared.Load() {
+			stream.cancel(errUnpassed)
+		}
+	}
+}
+
 // handOverStream hands over a stream whose connection was frozen at a position in the response. If the error does not
 // wrap ErrHandOverUncertain, this process still owns the stream.
-func (r *runningStreams) handOverStream(
-	state *streamState, attempt *node.Attempt, backendFD int, position chunkParser,
-) error {
+func (r *runningStreams) handOverStream(stream *relay, backendFD int, position chunkParser) error {
+	if stream.untilSilent() < minHandOverTime {
+		return errEndsSoon
+	}
 	r.mu.Lock()
 	handOver := r.handOver
 	r.mu.Unlock()
-	clientFD, err := attempt.DuplicateClient()
+	clientFD, err := stream.attempt.DuplicateClient()
 	if err != nil {
-		return err
+		return errors.Join(errNotDetachable, err)
 	}
 	defer func() { _ = unix.Close(clientFD) }()
-	return handOver(newStream(state, attempt, position), clientFD, backendFD)
+	stream.shared.Store(true)
+	return handOver(newStream(stream.streamState, stream.attempt, position), clientFD, backendFD)
 }
 
+var (
+	// errNotDetachable is the reason for which a stream stays in this process whose client's connection no other process
+	// can continue.
+	errNotDetachable = errors.New("hand over stream: client connection cannot be passed")
+	// errEndsSoon is the reason for which a stream is not handed over at present.
+	errEndsSoon = errors.New("hand over stream: it is about to be broken off as silent")
+)
+
+// minHandOverTime is the minimum time until a stream is broken off for it to be handed over: that of one attempt to pass
+// it, during which its client would wait on.
+const minHandOverTime = 300 * time.Millisecond
+
 // handOver hands over the stream, whose connection was frozen. If the other process does not take it over, the stream
 // goes on in this one, and the result is nil.
 func (r *relay) handOver() *streamEnd {
@@ -99,17 +136,22 @@
 	}
 	defer func() { _ = unix.Close(backendFD) }()
 	fields := r.logFields()
-	err = r.streams.handOverStream(r.streamState, r.attempt, backendFD, position)
+	err = r.streams.handOverStream(r, backendFD, position)
 	r.streams.log.Info("stream handover finished", append(fields, zap.Bool("handed_over", err == nil), zap.Error(err))...)
 	switch {
 	case err == nil:
+		r.shared.Store(false)
 		return &streamEnd{node.Result{Code: standpoint.Cancelled, Moved: true}, r.attempt.DetachClient()}
 	case errors.Is(err, ErrHandOverUncertain): // two processes must not write to one client
-		return &streamEnd{cancelled, err}
+		r.shared.Store(false)
+		return &streamEnd{cancelled, errors.Join(err, r.attempt.DetachClient())}
 	}
 	if failed := r.continueFrom(backendFD, position); failed != nil {
 		return &streamEnd{cancelled, errors.Join(err, failed)}
 	}
+	if !errors.Is(err, errNotDetachable) {
+		r.streams.addAgain(r)
+	}
 	return nil
 }
 
@@ -120,19 +162,38 @@
 	if err != nil {
 		return err
 	}
-	r.streams.remove(r.connection)
-	r.connection = nil // not to be handed over again
+	r.releaseConnection()
 	own := &connection{Conn: conn, idleLimit: &idleLimit{}, chunks: position}
+	r.connection = own
 	r.body = &remainder{connection: own, chunks: position}
 	r.attempt.OnHandBack(own.endForHandBack)
 	stopWatching := context.AfterFunc(r.ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
-	r.onEnd = func() {
+	r.closeOwn = func() {
 		stopWatching()
 		_ = conn.Close()
 	}
 	return nil
 }
 
+// endConnection ends the connection of a stream that has ended here, also if another process has a descriptor of it.
+func (r *relay) endConnection() {
+	if r.shared.Load() && r.closeOwn != nil {
+		_ = ShutdownSocket(r.connection.Conn) // fails only if the backend has closed the connection
+	}
+	r.releaseConnection()
+}
+
+// releaseConnection forgets the connection of the stream, and closes it if it was opened after a failed handover.
+func (r *relay) releaseConnection() {
+	if r.connection != nil {
+		r.streams.remove(r.connection)
+		r.connection.closeDuplicate()
+	}
+	if r.closeOwn != nil {
+		r.closeOwn()
+	}
+}
+
 // logFields returns the fields that identify the stream and describe its progress in a log entry.
 func (r *relay) logFields() []zap.Field {
 	return []zap.Field{
--- a/internal/backend/socket.go
+++ b/internal/backend/socket.go
@@ -88,6 +88,13 @@
 	return fd, failed
 }
 
+// ShutdownSocket ends a connection in both directions, also if other processes have descriptors of its socket.
+func ShutdownSocket(c net.Conn) error {
+	var failed error
+	err := control(c, func(fd int) { failed = unix.Shutdown(fd, unix.SHUT_RDWR) })
+	return errors.Join(err, failed)
+}
+
 // DuplicateSocket returns a duplicate descriptor of a client connection's socket, which stays open when the connection
 // closes.
 func DuplicateSocket(c net.Conn) (int, error) { return duplicateSocket(c) }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -29,6 +29,10 @@
 	// process that hands over exits even if something still blocks.
 	exitMargin = 100 * time.Millisecond
 
+	// breakMargin is the time before the kill at which streams are broken off that could not be passed to a sibling, but
+	// whose descriptors it may have got.
+	breakMargin = 250 * time.Millisecond
+
 	// closeIdleDelay is the time from the beginning of a hand-over until idle connections are closed.
 	closeIdleDelay = 600 * time.Millisecond
 	// passStreamsDelay is the time from the beginning of a hand-over until unfinished streams are passed to a sibling.
@@ -85,7 +89,10 @@
 		end = killDelay
 	}
 	defer time.AfterFunc(end-killMargin, func() { a.core.HandBack(true) }).Stop()
-	defer time.AfterFunc(passStreamsDelay, a.passStreams).Stop()
+	passing, endPassing := context.WithCancel(context.Background())
+	defer endPassing()
+	defer time.AfterFunc(passStreamsDelay, func() { a.passStreams(passing) }).Stop()
+	defer time.AfterFunc(end-breakMargin, a.backends.BreakUnpassed).Stop()
 	// Draining closes idle connections at once. The delay lets a client that sends requests back to back receive its
 	// next response, which asks it to close the connection.
 	time.Sleep(closeIdleDelay)
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,7 @@
 	"standpoint/internal/edge"
 	"standpoint/internal/handover"
 	"standpoint/internal/node"
+	"standpoint/internal/transient"
 )
 
 // streamTransfer describes a stream that is passed to a sibling. It has the names of the class and of the tenant and
@@ -22,23 +24,44 @@
 	Stream json.RawMessage `json:"stream"`
 }
 
-// passStreams passes the unfinished streams to the serving sibling.
-func (a *assembly) passStreams() {
-	count := a.backends.HandOver(func(stream backend.Stream, clientFD, backendFD int) error {
-		err := a.passStream(stream, clientFD, backendFD)
-		if err != nil {
-			a.processLog.Warn("stream not passed", zap.String("trace", stream.Trace), zap.Error(err))
+// passInterval is the time between two attempts to pass streams that could not be passed, or were not yet to be passed.
+const passInterval = 100 * time.Millisecond
+
+// passStreams passes the unfinished streams to the serving sibling, until the context ends. While the sibling does not
+// respond, the streams go on in this process.
+func (a *assembly) passStreams(ctx context.Context) {
+	responded := true
+	for first := true; ; first = false {
+		err := a.siblings.ProbeReceivers()
+		switch {
+		case err == nil:
+			if count := a.backends.HandOver(a.passStream); first || !responded || count > 0 {
+				a.processLog.Info("streams passed to sibling process", zap.Int("streams", count))
+			}
+		case responded:
+			a.processLog.Warn("sibling process does not accept streams, retrying", zap.Error(err))
 		}
-		if errors.Is(err, handover.ErrUncertain) {
-			err = errors.Join(backend.ErrHandOverUncertain, err)
+		responded = err == nil
+		if !transient.Sleep(ctx, passInterval) {
+			return
 		}
-		return err
-	})
-	a.processLog.Info("streams passed to sibling process", zap.Int("streams", count))
+	}
 }
 
-// passStream passes one stream, with its connections to the client and the backend, to the serving sibling.
+// passStream passes one stream, with its connections to the client and the backend, to the serving sibling. It is a
+// backend.HandOverFunc.
 func (a *assembly) passStream(stream backend.Stream, clientFD, backendFD int) error {
+	err := a.encodeAndPass(stream, clientFD, backendFD)
+	if err != nil {
+		a.processLog.Warn("stream not passed", zap.String("trace", stream.Trace), zap.Error(err))
+	}
+	if errors.Is(err, handover.ErrUncertain) {
+		err = errors.Join(backend.ErrHandOverUncertain, err)
+	}
+	return err
+}
+
+func (a *assembly) encodeAndPass(stream backend.Stream, clientFD, backendFD int) error {
 	encoded, err := json.Marshal(stream)
 	if err != nil {
 		return err
@@ -59,7 +82,7 @@
 	adopt := func(text []byte, client, backendConn net.Conn) func() {
 		return a.adoptStream(ctx, text, client, backendConn)
 	}
-	if err := a.siblings.AcceptStreams(ctx, adopt); err != nil {
+	if err := a.siblings.AcceptStreams(ctx, a.log, adopt); err != nil {
 		a.log.Warn("stream adoption unavailable", zap.Error(err))
 	}
 }
--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -46,7 +46,8 @@
 		_, _ = io.Copy(io.Discard, client)
 		cancel()
 	}()
-	stream := &adoptedStream{client, writeAllowance{response.ClientStall}}
+	stream := &adoptedStream{conn: client, writeAllowance: writeAllowance{response.ClientStall}}
+	defer stream.end()
 	work := node.Work{TraceID: response.TraceID, MaxTokens: response.MaxTokens}
 	answer := f.Core.Adopt(ctx, node.NewRequest(spec, work, stream), response.Begun, run)
 	if answer.Kind == node.Served {
@@ -66,6 +67,8 @@
 // adoptedStream writes the rest of a response that another process has begun.
 type adoptedStream struct {
 	conn net.Conn
+	// duplicated is set once another process may have a descriptor of the connection, until that process owns it.
+	duplicated bool
 	writeAllowance
 }
 
@@ -86,7 +89,20 @@
 }
 
 // Duplicate implements node.Detacher.
-func (s *adoptedStream) Duplicate() (int, error) { return backend.DuplicateSocket(s.conn) }
+func (s *adoptedStream) Duplicate() (int, error) {
+	s.duplicated = true
+	return backend.DuplicateSocket(s.conn)
+}
+
+// Detach implements node.Detacher. Adopt closes this process's descriptor.
+func (s *adoptedStream) Detach() error {
+	s.duplicated = false
+	return nil
+}
 
-// Detach implements node.Detacher. It does nothing: Adopt closes this process's descriptor.
-func (s *adoptedStream) Detach() error { return nil }
+// end ends the connection for its client if another process may have a descriptor of it.
+func (s *adoptedStream) end() {
+	if s.duplicated {
+		_ = backend.ShutdownSocket(s.conn) // fails only if the client has disconnected
+	}
+}
--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -54,6 +54,7 @@
 	served       bool           // a backend has answered the current request; used by its handler alone
 	readAheadAt  atomic.Int64   // when bytes were last read ahead, as an instant of internal/clock
 	discardOnly  atomic.Bool    // the rest of the request is not read
+	duplicated   atomic.Bool    // another process may have a descriptor of the socket
 	reclaimed    atomic.Bool    // memory was reclaimed, and reads fail from now on
 	received     atomic.Bool    // a byte has been read
 	responded    atomic.Bool    // a byte has been written
@@ -352,20 +353,28 @@
 	c.stopReadAhead()
 	c.discardBuffered()
 	if unread, _ := backend.UnreadBytes(c.Conn); unread == 0 || !c.responded.Load() || !c.tracker.acquireLinger(c) {
-		return c.Conn.Close()
+		return c.closeSocket()
 	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		c.tracker.releaseLinger()
-		return c.Conn.Close()
+		return c.closeSocket()
 	}
 	time.AfterFunc(lingerTime, func() {
 		defer c.tracker.releaseLinger()
-		_ = c.Conn.Close() // the client has had its time, so an error does not matter
+		_ = c.closeSocket() // the client has had its time, so an error does not matter
 	})
 	return nil
 }
 
+// closeSocket closes the socket, and ends the connection for the client even if another process has a descriptor of it.
+func (c *clientConn) closeSocket() error {
+	if c.duplicated.Load() {
+		_ = backend.ShutdownSocket(c.Conn) // fails only if the client has disconnected
+	}
+	return c.Conn.Close()
+}
+
 // abandon closes this process's descriptor of a connection that another process continues. Unlike Close it never ends
 // the sending side, which the other process uses.
 func (c *clientConn) abandon() error {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -86,6 +86,7 @@
 	case s.conn.pipelined():
 		return 0, errPipelined
 	}
+	s.conn.duplicated.Store(true)
 	return backend.DuplicateSocket(s.conn.Conn)
 }
 
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"standpoint/internal/testpeer/golden"
@@ -125,7 +126,7 @@
 	texts := make(chan string, 1)
 	acceptDone := make(chan error, 1)
 	go func() {
-		acceptDone <- channel.AcceptStreams(t.Context(), func(text []byte, a, b net.Conn) func() {
+		acceptDone <- channel.AcceptStreams(t.Context(), zap.NewNop(), func(text []byte, a, b net.Conn) func() {
 			return func() {
 				texts <- string(text)
 				_ = a.Close()
--- a/internal/handover/stream_receiver.go
+++ b/internal/handover/stream_receiver.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"standpoint/internal/transient"
 )
 
@@ -18,25 +20,29 @@
 type StreamHandler func(text []byte, first, second net.Conn) (takeOver func())
 
 // AcceptStreams calls handle for each stream that a sibling passes to this process, until the context ends. Calls of
-// handle may be concurrent.
-func (c *Channel) AcceptStreams(ctx context.Context, handle StreamHandler) error {
-	listener, err := c.listenForStreams()
+// handle may be concurrent. Failed accepts are written to the log, and do not end it. When it returns, no sibling can
+// leave descriptors in the queue of the socket.
+func (c *Channel) AcceptStreams(ctx context.Context, log *zap.Logger, handle StreamHandler) error {
+	socket, err := c.listenForStreams()
 	if err != nil {
 		return err
 	}
+	listener := transient.NewListener(socket, log)
+	defer func() { _ = listener.Close() }() // it may have been closed by the end of the context
 	stopClosing := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stopClosing()
 	var receiving sync.WaitGroup
 	defer receiving.Wait()
 	slots := make(chan struct{}, maxConcurrentPasses)
 	for {
-		conn, err := listener.AcceptUnix()
+		accepted, err := listener.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
 			return err
 		}
+		conn := accepted.(*net.UnixConn) // the type of a connection to a Unix socket
 		slots <- struct{}{}
 		receiving.Go(func() {
 			defer func() { <-slots }()
--- a/internal/handover/stream_sender.go
+++ b/internal/handover/stream_sender.go
@@ -7,12 +7,73 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// ProbeReceivers returns nil if a sibling accepts streams and responds at present. One that is held up does not respond,
+// and descriptors that are sent to it lie in its socket's queue. If no sibling listens for streams, the error is
+// ErrNoSibling.
+func (c *Channel) ProbeReceivers() error {
+	sockets, err := c.siblingSockets()
+	if err != nil {
+		return err
+	}
+	err = ErrNoSibling
+	for _, path := range sockets {
+		if err = probe(path); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// probe opens a connection to the process that listens on the socket at path, and ends its own side. A process of any
+// version then ends the other side.
+func probe(path string) error {
+	conn, err := dialReceiver(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.CloseWrite(); err != nil {
+		return err
+	}
+	if _, err := io.ReadFull(conn, make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return errors.Join(errMalformedPass, err)
+	}
+	return nil
+}
+
+// siblingSockets returns the paths of the sockets on which siblings accept streams.
+func (c *Channel) siblingSockets() ([]string, error) {
+	sockets, err := filepath.Glob(c.pathPrefix + ".*" + liveSuffix + socketSuffix)
+	if err != nil {
+		return nil, err
+	}
+	own := c.liveFile.Name() + socketSuffix
+	return slices.DeleteFunc(sockets, func(path string) bool { return path == own }), nil
+}
+
+// dialReceiver connects to the process that listens on the socket at path. The connection has a deadline for passing one
+// stream.
+func dialReceiver(path string) (*net.UnixConn, error) {
+	short, release, err := shortSocketPath(path)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: short, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(passTimeout)) // fails only if the connection is closed
+	return conn, nil
+}
+
 // PassStream passes a stream, which is a text and two sockets, to a sibling that accepts it. The descriptors stay open.
 // If it returns no error, a sibling owns the stream. If no sibling listens for streams, the error is ErrNoSibling.
 // After an error that wraps ErrUncertain, a sibling may own the stream; after any other, the caller still owns it.
@@ -20,16 +81,13 @@
 	if len(text) > maxTextBytes {
 		return fmt.Errorf("pass stream: text of %d bytes exceeds the maximum of %d", len(text), maxTextBytes)
 	}
-	sockets, err := filepath.Glob(c.pathPrefix + ".*" + liveSuffix + socketSuffix)
+	sockets, err := c.siblingSockets()
 	if err != nil {
 		return err
 	}
 	err = ErrNoSibling
 	for _, path := range sockets {
 		livePath := strings.TrimSuffix(path, socketSuffix)
-		if livePath == c.liveFile.Name() {
-			continue
-		}
 		pass := streamPass{text: text, fds: []int{first, second}, twoPhase: passesInTwoPhases(livePath)}
 		if err = pass.send(path); err == nil || errors.Is(err, ErrUncertain) {
 			return err
@@ -47,17 +105,11 @@
 
 // send passes the stream to the process that listens on the socket at path.
 func (p *streamPass) send(path string) error {
-	short, release, err := shortSocketPath(path)
-	if err != nil {
-		return err
-	}
-	defer release()
-	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: short, Net: "unix"})
+	conn, err := dialReceiver(path)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(passTimeout)) // fails only if the connection is closed
 	if err := p.writeMessage(conn); err != nil {
 		return err
 	}
--- a/internal/handover/stream_test.go
+++ b/internal/handover/stream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
@@ -30,7 +31,7 @@
 	require.NoError(t, err)
 	p := &passTest{sender: sender, receiver: receiver, taken: make(chan string, 1)}
 	go func() {
-		_ = receiver.AcceptStreams(t.Context(), func(text []byte, first, second net.Conn) func() {
+		_ = receiver.AcceptStreams(t.Context(), zap.NewNop(), func(text []byte, first, second net.Conn) func() {
 			if !accept {
 				return nil
 			}
