An event of which bytes come without end is awaited for 10 s at most

What callers saw: a server that writes a byte of one event each 0.5 s, and never its end, held its client for 23 s and more.

Cause: each byte of an event began the wait of 4.5 s anew, without a bound.

Bound: 10 s after the last whole event (maxEventTime), over all processes. A client left waiting 5 s has lost its request unless the stream becomes whole after all, so a server that writes gets as much time again; where clients ask for the rest bytes of an event count for nothing, as before.

--- a/internal/backend/stream_state.go
+++ b/internal/backend/stream_state.go
@@ -16,6 +16,10 @@
 	// maxSilence is the time without a byte of an event after which any other stream is broken off. A client is left
 	// waiting for 5 s at most.
 	maxSilence = 4500 * time.Millisecond
+	// maxEventTime is the time after the last event for which such a stream goes on while bytes of the next event come. A
+	// client that is left waiting for 5 s has lost its request unless the stream becomes whole after all, so a backend that
+	// writes gets as much time again. Beyond that the client would be held by an event that may never end.
+	maxEventTime = 10 * time.Second
 	// minResumableSilence is the lower bound of the time without an event after which a stream is broken off whose
 	// client can request the rest. It is above the pauses of backends, which last up to 600 ms.
 	minResumableSilence = time.Second
@@ -73,7 +77,11 @@
 	if resumable {
 		return s.lastEvent.Add(s.resumableSilence())
 	}
-	return s.lastReceived.Add(maxSilence)
+	silent, slow := s.lastReceived.Add(maxSilence), s.lastEvent.Add(maxEventTime)
+	if slow.Before(silent) {
+		return slow
+	}
+	return silent
 }
 
 // resumableSilence returns the time without an event after which a stream is broken off whose client can request the
--- a/internal/overload/upgrade_test.go
+++ b/internal/overload/upgrade_test.go
@@ -240,3 +240,29 @@
 	}
 	require.NotEmpty(t, old.LogLines("streams passed to sibling process"))
 }
+
+// maxEventWait is the time after the last event in which a stream has to end whose backend goes on writing the next one.
+const maxEventWait = 10 * time.Second
+
+// TestEventThatNeverEnds guards against a client that waits without limit for an event of which a byte comes now and
+// then, also over an upgrade.
+func TestEventThatNeverEnds(t *testing.T) {
+	t.Parallel()
+	for name, upgrades := range map[string]int{"no upgrade": 0, "an upgrade": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newUpgradeScene(t, false)
+			s.start(s.program)
+			s.patience = 2 * maxEventWait
+			s.begin(longAnswer)
+			s.server.SetHang(upgrade.Trickle)
+			for range upgrades {
+				s.upgrade()
+			}
+			s.requireNobodyWaits()
+			for _, result := range s.results {
+				require.Less(t, result.Ended.Sub(result.LastEvent), maxEventWait+patienceSlack, result)
+			}
+		})
+	}
+}
