--- a/internal/backend/stream_handover.go
+++ b/internal/backend/stream_handover.go
@@ -161,6 +161,10 @@
 	}
 }
 
+// adoptedStreamMemory is the memory of a stream that another process has handed over, in bytes: the buffers of its two
+// connections, and the stacks of its goroutines.
+const adoptedStreamMemory = 48 << 10
+
 // ContinueStream relays a stream that another process has handed over, from the next byte of its backend's connection
 // to its end.
 func (f *Fleet) ContinueStream(s Stream, backendConn net.Conn, attempt *node.Attempt) {
@@ -170,6 +174,7 @@
 	conn := &connection{Conn: backendConn, idleLimit: &idleLimit{}, chunks: s.Chunks}
 	defer context.AfterFunc(ctx, func() { _ = backendConn.SetReadDeadline(time.Now()) })()
 	body := &remainder{connection: conn, chunks: s.Chunks}
+	defer f.streams.memory.Open(adoptedStreamMemory, nil).Close()
 	state := s.state(backendConn)
 	f.Log.Info("stream taken over",
 		zap.String("trace", s.Trace),
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -145,9 +145,15 @@
 // errNotDetachable is returned for a client connection that another process cannot continue.
 var errNotDetachable = errors.New("client connection cannot be moved to another process")
 
+// errHooked is returned for a request whose answer a hook inspects, which exists in this process alone.
+var errHooked = errors.New("answer is inspected by a hook of this process")
+
 // DuplicateClient returns a file descriptor of the client's connection, which the caller owns, so that another process
 // can continue the answer. DetachClient must be called once that process has agreed.
 func (a *Attempt) DuplicateClient() (descriptor int, err error) {
+	if a.Request.Hook != nil {
+		return 0, errHooked
+	}
 	if client, ok := a.Request.connection.(Detacher); ok {
 		return client.Duplicate()
 	}
