--- a/internal/testpeer/upgrade/client.go
+++ b/internal/testpeer/upgrade/client.go
@@ -41,7 +41,7 @@
 	ID        string
 	Status    int       // 0 if there was no answer
 	Events    int       // events with data
-	Whole     bool      // the stream came to its last event and its end
+	Complete  bool      // the stream came to its last event and its end
 	LastEvent time.Time // when the last event was received, or the request was sent if there was none
 	Ended     time.Time
 	GaveUp    bool // the client was left waiting
@@ -50,13 +50,13 @@
 
 // String describes the result.
 func (r Result) String() string {
-	return fmt.Sprintf("%s: status %d, %d events, whole %v, ended %v after its last event at %s, gave up %v: %v",
-		r.ID, r.Status, r.Events, r.Whole, r.Ended.Sub(r.LastEvent).Round(time.Millisecond),
+	return fmt.Sprintf("%s: status %d, %d events, complete %v, ended %v after its last event at %s, gave up %v: %v",
+		r.ID, r.Status, r.Events, r.Complete, r.Ended.Sub(r.LastEvent).Round(time.Millisecond),
 		r.LastEvent.Format("05.000"), r.GaveUp, r.Err)
 }
 
 // Broken reports whether a stream had begun and ended before it was whole.
-func (r Result) Broken() bool { return r.Status == http.StatusOK && !r.Whole && !r.GaveUp }
+func (r Result) Broken() bool { return r.Status == http.StatusOK && !r.Complete && !r.GaveUp }
 
 // Do sends a request and reads its answer to its end. The client gives up if it has no final answer in time, if it is
 // left waiting after an event, or if the context ends.
@@ -66,7 +66,7 @@
 	defer giveUp()
 	patience := time.AfterFunc(request.Timeout+answerSlack, giveUp)
 	defer func() {
-		result.GaveUp = !patience.Stop() && !result.Whole
+		result.GaveUp = !patience.Stop() && !result.Complete
 		result.Ended = time.Now()
 	}()
 	transport := c.Connections
@@ -105,7 +105,7 @@
 		patience.Reset(request.Patience)
 	}
 	r.Err = lines.Err()
-	r.Whole = r.Status == http.StatusOK && done && r.Err == nil
+	r.Complete = r.Status == http.StatusOK && done && r.Err == nil
 }
 
 // encode returns the request as it is sent.
--- a/internal/testpeer/upgrade/node.go
+++ b/internal/testpeer/upgrade/node.go
@@ -120,12 +120,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Stop sends SIGTERM to the process, and SIGKILL at the earliest time. It returns when the process has ended.
-func (p *Process) Stop() {
-	_ = p.Process.Process.Signal(syscall.SIGTERM) // fails only if the process has ended
-	p.AwaitKill(EarliestKill)
-}
-
 // AwaitKill kills the process after a time, unless it ends before, and returns when it has ended.
 func (p *Process) AwaitKill(after time.Duration) {
 	select {
--- a/internal/testpeer/upgrade/server.go
+++ b/internal/testpeer/upgrade/server.go
@@ -39,15 +39,15 @@
 type Server struct {
 	Address string
 
-	mu        sync.Mutex // guards the fields below
-	hang      Hang
-	lastEvent map[string]time.Time // when it last wrote an event, by trace ID
-	attempts  map[string]int       // by trace ID
+	mu       sync.Mutex // guards the fields below
+	hang     Hang
+	events   map[string][]time.Time // when it wrote each event, by trace ID
+	attempts map[string]int         // by trace ID
 }
 
 // NewServer starts a backend, which runs until the test ends.
 func NewServer(t testing.TB) *Server {
-	s := &Server{lastEvent: map[string]time.Time{}, attempts: map[string]int{}}
+	s := &Server{events: map[string][]time.Time{}, attempts: map[string]int{}}
 	s.Address = testpeer.StartBackend(t, s.answer)
 	return s
 }
@@ -65,12 +65,24 @@
 	return s.hang
 }
 
-// LastEvent returns when the backend last wrote an event of a request's answer; false if it has written none.
-func (s *Server) LastEvent(id string) (time.Time, bool) {
+// HasBegun reports whether the backend has written an event of a request's answer.
+func (s *Server) HasBegun(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.lastEvent[id]
-	return at, ok
+	return len(s.events[id]) > 0
+}
+
+// LastEvent returns when the backend last wrote an event of a request's answer before a time; the zero time if it wrote
+// none.
+func (s *Server) LastEvent(id string, before time.Time) (last time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.events[id] {
+		if at.Before(before) {
+			last = at
+		}
+	}
+	return last
 }
 
 // Attempts returns how often a request has arrived.
@@ -89,7 +101,7 @@
 	raw, _ := io.ReadAll(r.Body) // without the whole body, the zero answer is given
 	var request struct{ Answer Answer }
 	_ = json.Unmarshal(raw, &request) // as above
-	stream := &serverStream{server: s, id: id, w: w, gone: r.Context().Done()}
+	stream := &serverStream{server: s, id: id, w: w, ended: r.Context().Done()}
 	if !stream.sleep(request.Answer.Delay) {
 		return
 	}
@@ -108,7 +120,7 @@
 	server *Server
 	id     string
 	w      http.ResponseWriter
-	gone   <-chan struct{} // closed when the node has ended the connection
+	ended  <-chan struct{} // closed when the node has ended the connection
 	begun  bool
 }
 
@@ -129,7 +141,7 @@
 	s.begun = true
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
-	s.server.lastEvent[s.id] = time.Now()
+	s.server.events[s.id] = append(s.server.events[s.id], time.Now())
 	return true
 }
 
@@ -173,7 +185,7 @@
 // sleep waits for a duration. It returns false if the node ends the connection before.
 func (s *serverStream) sleep(duration time.Duration) bool {
 	select {
-	case <-s.gone:
+	case <-s.ended:
 		return false
 	case <-time.After(duration):
 		return true
