Tests of upgrades are a package of their own, which runs apart after those of crowds

The nodes of crowds play one at a time, since each takes much of the machine; those of upgrades beside them would take their time. No test has changed.

--- a/internal/overload/crowd_soak_test.go
+++ b/internal/overload/crowd_soak_test.go
@@ -61,8 +61,8 @@
 		misbehaving.Wait()
 	}()
 	if rng.IntN(3) > 0 {
-		load := drawCrowd(n.address, seed, rng)
-		t.Logf("crowd of %d: %s", load.Connections, behaviorNames(load.Behaviors))
+		load := crowd.Draw(n.address, seed, rng)
+		t.Logf("crowd of %d: %s", load.Connections, crowd.Names(load.Behaviors))
 		misbehaving.Go(func() { load.Run(crowdContext) })
 	}
 	signalInSeries(n, rng)
@@ -91,22 +91,6 @@
 	restarted.AwaitReady(t, n.address, 10*time.Second)
 }
 
-// drawCrowd returns a crowd of random size and behaviors.
-func drawCrowd(address string, seed uint64, rng *rand.Rand) *crowd.Crowd {
-	all := []crowd.Behavior{
-		crowd.SlowHead, crowd.ManyFields, crowd.ManyFieldsWhole, crowd.HalfBody, crowd.SlowBody, crowd.SlowReader,
-		crowd.TooLarge, crowd.SmallChunks, crowd.Silent, crowd.SmallUnsound, crowd.UnknownNames,
-	}
-	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return &crowd.Crowd{
-		Address:     address,
-		Connections: 100 + rng.IntN(crowdConnections-100),
-		Behaviors:   all[:1+rng.IntN(4)],
-		Seed:        seed,
-		Reconnect:   time.Duration(50+rng.IntN(300)) * time.Millisecond,
-	}
-}
-
 // signalInSeries lets the node serve for a while, and has it read its configuration again some times.
 func signalInSeries(n *crowdNode, rng *rand.Rand) {
 	time.Sleep(1100 * time.Millisecond) // no signal comes in the first second
--- a/internal/overload/crowd_test.go
+++ b/internal/overload/crowd_test.go
@@ -21,13 +21,12 @@
 )
 
 const (
-	crowdConnections = 620 // a few more than a node accepts with 1,024 descriptors
-	goodClients      = 8
-	goodTimeout      = 2500 * time.Millisecond
-	goodShare        = 0.9 // of the well-behaved clients' requests, to be served in time beside a crowd
-	crowdTime        = 6 * time.Second
-	floodTime        = 8 * time.Second
-	floodTimeout     = time.Second // the time in which an answer is worth most, by the settings
+	goodClients  = 8
+	goodTimeout  = 2500 * time.Millisecond
+	goodShare    = 0.9 // of the well-behaved clients' requests, to be served in time beside a crowd
+	crowdTime    = 6 * time.Second
+	floodTime    = 8 * time.Second
+	floodTimeout = time.Second // the time in which an answer is worth most, by the settings
 )
 
 // crowdNode is a node process under the smallest limits, with four backends in the test's process.
@@ -171,11 +170,11 @@
 		{crowd.SlowReader}, {crowd.TooLarge}, {crowd.SmallChunks},
 		{crowd.SlowHead, crowd.ManyFields, crowd.HalfBody, crowd.SlowReader, crowd.ManyMessages},
 	} {
-		t.Run(behaviorNames(behaviors), func(t *testing.T) {
+		t.Run(crowd.Names(behaviors), func(t *testing.T) {
 			crowdSlots <- struct{}{}
 			defer func() { <-crowdSlots }()
 			n := startCrowdNode(t, program, crowd.LeastLimits)
-			n.play(scene{crowdTime, crowdConnections, 100 * time.Millisecond, goodTimeout, goodShare, behaviors})
+			n.play(scene{crowdTime, crowd.MaxConnections, 100 * time.Millisecond, goodTimeout, goodShare, behaviors})
 		})
 	}
 }
@@ -190,7 +189,7 @@
 			crowdSlots <- struct{}{}
 			defer func() { <-crowdSlots }()
 			n := startCrowdNode(t, program, crowd.LeastLimits)
-			n.play(scene{crowdTime, crowdConnections, 100 * time.Millisecond, goodTimeout, 0, []crowd.Behavior{behavior}})
+			n.play(scene{crowdTime, crowd.MaxConnections, 100 * time.Millisecond, goodTimeout, 0, []crowd.Behavior{behavior}})
 		})
 	}
 }
@@ -215,11 +214,3 @@
 
 // crowdSlots bounds the nodes that are under load at once: the clients of one take much of the machine.
 var crowdSlots = make(chan struct{}, 1)
-
-func behaviorNames(behaviors []crowd.Behavior) string {
-	var names []string
-	for _, b := range behaviors {
-		names = append(names, b.Name)
-	}
-	return strings.Join(names, ", ")
-}
--- /dev/null
+++ b/internal/upgrade/main_test.go
@@ -0,0 +1,10 @@
+package upgrade_test
+
+import (
+	"testing"
+
+	"standpoint/internal/testpeer"
+)
+
+// TestMain runs the tests, unless they are run apart.
+func TestMain(m *testing.M) { testpeer.RunApart(m) }
--- a/internal/overload/upgrade_soak_test.go
+++ b/internal/upgrade/soak_test.go
@@ -1,4 +1,4 @@
-package overload
+package upgrade_test
 
 import (
 	"context"
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"standpoint/internal/testpeer"
+	"standpoint/internal/testpeer/crowd"
 	"standpoint/internal/testpeer/upgrade"
 )
 
@@ -43,7 +44,7 @@
 
 // TestUpgradeSoak guards against clients that are left waiting and streams that are cut off while they go over upgrades
 // in series, with backends that hang, clients that stall or leave, and kills at the earliest time. Each seed is another
-// schedule; more are played with: go test ./internal/overload -run TestUpgradeSoak -args -upgrade-seeds 50.
+// schedule; more are played with: go test ./internal/upgrade -run TestUpgradeSoak -args -upgrade-seeds 50.
 func TestUpgradeSoak(t *testing.T) {
 	t.Parallel()
 	program := *upgradeProgram
@@ -103,9 +104,9 @@
 		others.Go(func() { runServer(ctx, server, draws) })
 	}
 	if s.rng.IntN(4) == 0 {
-		load := drawCrowd(s.node.Address, s.seed, s.rng)
+		load := crowd.Draw(s.node.Address, s.seed, s.rng)
 		load.Connections = crowdClients
-		s.t.Logf("crowd: %s", behaviorNames(load.Behaviors))
+		s.t.Logf("crowd: %s", crowd.Names(load.Behaviors))
 		others.Go(func() { load.Run(ctx) })
 	}
 	time.Sleep(soakLead)
--- a/internal/overload/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -1,4 +1,4 @@
-package overload
+package upgrade_test
 
 import (
 	"context"
