--- a/internal/batch/takeover_soak_test.go
+++ b/internal/batch/takeover_soak_test.go
@@ -134,7 +134,10 @@
 			failed, _ := reader.results(b.ErrorFileID)
 			t.Logf("%d lines served, %d failed, %d attempts, %d leaders", len(served), len(failed), s.counter.Total(),
 				s.cluster.term)
-			require.Len(t, served, soakLines, "%v", failed)
+			for id, line := range failed {
+				t.Logf("%s failed: %+v", id, *line.Error)
+			}
+			require.Len(t, served, soakLines)
 			require.Equal(t, batch.RequestCounts{Total: soakLines, Completed: soakLines}, b.RequestCounts)
 			require.Equal(t, 1, s.counter.MaximumInFlight(), "no line may have two attempts in flight")
 			require.Eventually(t, func() bool { return len(s.cluster.List("submission/")) == 0 },
